Lay out the workspace, the schema and the interfaces between the parts

Cause: nothing stands yet, and several parts are to be written at once. Ruled out: one package for all (no doors between the parts); types written by hand beside the schema (two sources). Conclusion: the parts are written against the ports of platform, configuration, mesh and traffic.

--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  type ApplyFailure,
+  ApplyFailureKind,
+  type ConfigurationHolder,
+  type Rejection,
+} from './CactusdealConfigurationTypes.js';
--- /dev/null
+++ b/packages/mesh/src/index.ts
@@ -0,0 +1,1 @@
+export type { MemberRejection, Mesh, MeshState, SurveyResult } from './CactusdealMeshTypes.js';
--- /dev/null
+++ b/packages/schema/src/CactusdealSchemaValidator.ts
@@ -0,0 +1,86 @@
+import type { Failure } from '@cactusdeal/shared';
+import { Ajv, type ErrorObject } from 'ajv';
+import { type Either, Left, Right } from 'purify-ts';
+import { configurationSchema } from './CactusdealSchemaConfiguration.generated.js';
+import { messagesSchema } from './CactusdealSchemaMessages.generated.js';
+import { settingsSchema } from './CactusdealSchemaSettings.generated.js';
+
+/** One place in a value that breaks the schema. */
+export interface SchemaFault {
+  /** Path from the root, with dots: `listen.mesh`. */
+  readonly path: string;
+  readonly found: string;
+  readonly allowed: string;
+}
+
+/** A value that does not fit its schema, with every fault at once. */
+export interface SchemaFailure extends Failure<'SchemaFailure'> {
+  readonly faults: readonly SchemaFault[];
+}
+
+/** Validates a value of unknown type; defaults of the schema are filled in, in place. */
+export type Validator<T> = (value: unknown) => Either<SchemaFailure, T>;
+
+const MAX_FOUND_LENGTH = 80;
+
+const ajv = new Ajv({ allErrors: true, useDefaults: true, verbose: true, strict: false });
+ajv.addSchema(configurationSchema, 'configuration');
+ajv.addSchema(messagesSchema, 'messages');
+ajv.addSchema(settingsSchema, 'settings');
+
+/**
+ * Creates a validator for a schema reference such as `configuration#/definitions/Plan`.
+ * The schema is compiled at the first use.
+ */
+export function createValidator<T>(reference: string): Validator<T> {
+  return (value) => {
+    const check = ajv.getSchema<T>(reference);
+    if (check === undefined) throw new RangeError(`no schema ${reference}`);
+    if (check(value)) return Right(value as T);
+    return Left(buildFailure(check.errors ?? []));
+  };
+}
+
+function buildFailure(errors: readonly ErrorObject[]): SchemaFailure {
+  const faults = errors.filter((error) => error.keyword !== 'oneOf').map(toFault);
+  const first = faults[0];
+  const message = first === undefined ? 'no variant fits' : formatFault(first);
+  return { kind: 'SchemaFailure', message, faults };
+}
+
+/** Formats a fault as one line: path, what was found and what is allowed. */
+export function formatFault(fault: SchemaFault): string {
+  return `${fault.path || '(root)'}: found ${fault.found}, allowed: ${fault.allowed}`;
+}
+
+function toFault(error: ErrorObject): SchemaFault {
+  const base = error.instancePath.slice(1).replaceAll('/', '.');
+  const params = error.params as Readonly<Record<string, unknown>>;
+  if (error.keyword === 'required') {
+    return {
+      path: joinPath(base, params.missingProperty),
+      found: 'nothing',
+      allowed: 'required',
+    };
+  }
+  if (error.keyword === 'additionalProperties') {
+    const path = joinPath(base, params.additionalProperty);
+    return { path, found: 'unknown key', allowed: 'only the documented keys' };
+  }
+  return { path: base, found: formatFound(error.data), allowed: formatAllowed(error) };
+}
+
+function joinPath(base: string, key: unknown): string {
+  return base === '' ? String(key) : `${base}.${String(key)}`;
+}
+
+function formatFound(data: unknown): string {
+  const text = JSON.stringify(data) ?? 'undefined';
+  return text.length > MAX_FOUND_LENGTH ? `${text.slice(0, MAX_FOUND_LENGTH)}…` : text;
+}
+
+function formatAllowed(error: ErrorObject): string {
+  if (error.keyword === 'enum') return `one of ${JSON.stringify(error.schema)}`;
+  if (error.keyword === 'const') return JSON.stringify(error.schema);
+  return error.message ?? error.keyword;
+}
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,13 @@
+export { type Channel, createChannel } from './CactusdealSharedChannel.js';
+export { type Failure, FailureError, formatCaught } from './CactusdealSharedFailure.js';
+export { InvariantError, invariant } from './CactusdealSharedInvariant.js';
+export {
+  createLog,
+  createSilentLog,
+  type Log,
+  type LogFields,
+  LogLevel,
+  startLogging,
+} from './CactusdealSharedLog.js';
+export { createSeededRandom, pickRandom, type Random } from './CactusdealSharedRandom.js';
+export { type Clock, getMonotonicMs, getWallTimeMs, waitMs } from './CactusdealSharedTime.js';
--- /dev/null
+++ b/packages/traffic/src/index.ts
@@ -0,0 +1,9 @@
+export {
+  CallOutcome,
+  type Directory,
+  type Gate,
+  type GetSnapshot,
+  type LocalWorker,
+  type Refusal,
+  RefusalKind,
+} from './CactusdealTrafficTypes.js';
