Serve calls from entry to gate to upstream

Cause: there was no path for calls yet, only the interfaces of its parts. Ruled out: `Pool.request`, whose body wrapper costs a stream for each answer; `Pool.dispatch` hands the chunks straight to the caller's connection and says when a request is written to a connection. Conclusion: the thin version: routing, gate, claims before sending, typed refusals, metrics.

--- /dev/null
+++ b/packages/traffic/src/CactusdealTrafficCall.ts
@@ -0,0 +1,73 @@
+import type { AnswerSink } from './CactusdealTrafficAttempt.js';
+import type { CallBody } from './CactusdealTrafficBody.js';
+import type { CompiledRoute } from './CactusdealTrafficRouteTable.js';
+import { createRefusal } from './CactusdealTrafficRefusal.js';
+import { type CallOutcome, type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
+
+/** Deepest call of a tree that is still taken. */
+export const MAX_DEPTH = 16;
+
+/** One call on its way through this process. */
+export interface Call {
+  readonly method: string;
+  /** Request target: path and query. */
+  readonly path: string;
+  /** Alternating names and values, without hop-by-hop fields and ours. */
+  readonly headers: readonly string[];
+  readonly route: CompiledRoute;
+  readonly key: string | undefined;
+  readonly startedAtMs: number;
+  readonly deadlineAtMs: number;
+  /** Retries for each call that may be earned from here on. */
+  readonly budget: number;
+  readonly depth: number;
+  readonly body: CallBody;
+  readonly life: CallLife;
+  readonly sink: AnswerSink;
+}
+
+/** How a call ended here. */
+export type CallEnd =
+  | { readonly type: 'answered'; readonly upstreamMs: number; readonly queuedMs?: number }
+  | { readonly type: 'refused'; readonly refusal: Refusal }
+  /** The head of an answer had been passed on, and the rest never came. */
+  | { readonly type: 'cut' };
+
+/** Whether a call's answer is still wanted. */
+export interface CallLife {
+  readonly signal: AbortSignal;
+  /** The caller went away. */
+  cancel(): void;
+  /** The answer has begun, so that the deadline is met. */
+  stopDeadline(): void;
+  /** Why the signal aborted, as a refusal; undefined while it has not. */
+  explain(outcome: CallOutcome): Refusal | undefined;
+  close(): void;
+}
+
+/** Starts the deadline of a call; the signal aborts when it passes or when the caller goes away. */
+export function startCallLife(remainingMs: number): CallLife {
+  const controller = new AbortController();
+  let ended: RefusalKind | undefined;
+  const timer = setTimeout(() => finish(RefusalKind.DeadlinePassed), Math.max(0, remainingMs));
+  return {
+    signal: controller.signal,
+    cancel: () => finish(RefusalKind.Cancelled),
+    stopDeadline: () => clearTimeout(timer),
+    explain: (outcome) =>
+      ended === undefined ? undefined : createRefusal(ended, EXPLANATIONS[ended] ?? '', outcome),
+    close: () => clearTimeout(timer),
+  };
+
+  function finish(kind: RefusalKind): void {
+    if (ended !== undefined) return;
+    ended = kind;
+    clearTimeout(timer);
+    controller.abort();
+  }
+}
+
+const EXPLANATIONS: Partial<Record<RefusalKind, string>> = {
+  DeadlinePassed: 'the deadline passed before an answer began',
+  Cancelled: 'the caller went away',
+};
--- /dev/null
+++ b/packages/traffic/src/CactusdealTrafficMetrics.ts
@@ -0,0 +1,118 @@
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+import type { CompiledRoute } from './CactusdealTrafficRouteTable.js';
+import type { Refusal } from './CactusdealTrafficTypes.js';
+
+const BUCKETS_SECONDS = [
+  0.00025, 0.0005, 0.00085, 0.0015, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
+  30,
+];
+const CALL_LABELS = ['role', 'rank', 'tenant', 'class'] as const;
+
+/** Which part of the path an observation was made by. */
+export type CallRole = 'entry' | 'gate';
+
+/** Times of one call, in milliseconds. */
+export interface CallTimes {
+  readonly totalMs: number;
+  /** Without the upstream's own time and the time in the queue; undefined where nothing was sent. */
+  readonly addedMs?: number;
+  readonly queuedMs?: number;
+}
+
+/** What the path of calls counts. */
+export interface TrafficMetrics {
+  recordCall(role: CallRole, route: CompiledRoute, outcome: string, times: CallTimes): void;
+  recordRefusal(role: CallRole, refusal: Refusal): void;
+  recordRetry(reason: string): void;
+  recordSilentConnection(): void;
+  /** Registers what the gauges read when they are collected. */
+  observeGate(read: () => GateGauges): void;
+}
+
+/** State of the gate at one moment. */
+export interface GateGauges {
+  readonly slots: number;
+  readonly inUse: number;
+  readonly queued: number;
+  readonly connections: number;
+}
+
+/** Creates the metrics of calls in a registry; once for each registry. */
+export function createTrafficMetrics(registry: Registry): TrafficMetrics {
+  const registers = [registry];
+  const total = createHistogram('cactusdeal_call_seconds', 'Whole time of a call.');
+  const added = createHistogram(
+    'cactusdeal_call_added_seconds',
+    'Time of a call without its upstream and its wait in the queue.',
+  );
+  const queue = createHistogram('cactusdeal_call_queue_seconds', 'Wait of a call for a slot.');
+  const calls = new Counter({
+    name: 'cactusdeal_calls_total',
+    help: 'Calls by outcome.',
+    labelNames: [...CALL_LABELS, 'outcome'],
+    registers,
+  });
+  const refusals = new Counter({
+    name: 'cactusdeal_refusals_total',
+    help: 'Calls that the system answered itself, by kind.',
+    labelNames: ['role', 'kind', 'outcome'],
+    registers,
+  });
+  const retries = new Counter({
+    name: 'cactusdeal_retries_total',
+    help: 'Attempts after the first, by reason.',
+    labelNames: ['reason'],
+    registers,
+  });
+  const silent = new Counter({
+    name: 'cactusdeal_silent_connections_total',
+    help: 'Connections replaced because they went silent.',
+    registers,
+  });
+
+  return {
+    recordCall: (role, route, outcome, times) => {
+      const labels = toLabels(role, route);
+      total.observe(labels, times.totalMs / 1000);
+      if (times.addedMs !== undefined) added.observe(labels, Math.max(0, times.addedMs) / 1000);
+      if (times.queuedMs !== undefined) queue.observe(labels, times.queuedMs / 1000);
+      calls.inc({ ...labels, outcome });
+    },
+    recordRefusal: (role, refusal) =>
+      refusals.inc({ role, kind: refusal.kind, outcome: refusal.outcome }),
+    recordRetry: (reason) => retries.inc({ reason }),
+    recordSilentConnection: () => silent.inc(),
+    observeGate: (read) => registerGauges(read, registers),
+  };
+
+  function createHistogram(name: string, help: string): Histogram {
+    return new Histogram({
+      name,
+      help,
+      labelNames: CALL_LABELS,
+      buckets: BUCKETS_SECONDS,
+      registers,
+    });
+  }
+}
+
+function registerGauges(read: () => GateGauges, registers: Registry[]): void {
+  const gauges: readonly [string, string, (state: GateGauges) => number][] = [
+    ['cactusdeal_gate_slots', 'Slots of the upstream.', (state) => state.slots],
+    ['cactusdeal_gate_slots_in_use', 'Slots that calls hold.', (state) => state.inUse],
+    ['cactusdeal_gate_queued', 'Calls that wait for a slot.', (state) => state.queued],
+    ['cactusdeal_gate_connections', 'Connections to the upstream.', (state) => state.connections],
+  ];
+  for (const [name, help, select] of gauges) {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers,
+      collect: () => gauge.set(select(read())),
+    });
+  }
+}
+
+function toLabels(role: CallRole, { tenant, route }: CompiledRoute): Record<string, string> {
+  return { role, rank: route.rank, tenant, class: route.class };
+}
--- /dev/null
+++ b/packages/traffic/src/CactusdealTrafficRefusal.ts
@@ -0,0 +1,54 @@
+import { CallOutcome, type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
+
+const STATUS: Readonly<Record<RefusalKind, number>> = {
+  NoRoute: 404,
+  NoUpstream: 503,
+  QueueFull: 503,
+  DeadlineUnmeetable: 503,
+  DeadlinePassed: 504,
+  Shed: 503,
+  Draining: 503,
+  Quarantined: 503,
+  BodyTooLarge: 413,
+  KeyMissing: 400,
+  KeyExpired: 409,
+  KeyClaimed: 409,
+  ClaimUnavailable: 503,
+  BudgetExhausted: 508,
+  UpstreamFailed: 502,
+  Cancelled: 499,
+};
+
+const KINDS: ReadonlySet<string> = new Set(Object.values(RefusalKind));
+const OUTCOMES: ReadonlySet<string> = new Set(Object.values(CallOutcome));
+
+/** Creates a refusal with the HTTP status of its kind. */
+export function createRefusal(
+  kind: RefusalKind,
+  message: string,
+  outcome: CallOutcome,
+  retryAfterMs?: number,
+): Refusal {
+  const refusal = { kind, message, outcome, status: STATUS[kind] };
+  return retryAfterMs === undefined ? refusal : { ...refusal, retryAfterMs };
+}
+
+/** Creates a refusal of a call that did not run. */
+export function createNotRun(kind: RefusalKind, message: string, retryAfterMs?: number): Refusal {
+  return createRefusal(kind, message, CallOutcome.NotRun, retryAfterMs);
+}
+
+/** Reads a kind that another daemon sent; undefined for anything else. */
+export function parseRefusalKind(text: string | undefined): RefusalKind | undefined {
+  return text !== undefined && KINDS.has(text) ? (text as RefusalKind) : undefined;
+}
+
+/** Reads an outcome that another daemon sent; whatever is unreadable is unknown. */
+export function parseOutcome(text: string | undefined): CallOutcome {
+  return text !== undefined && OUTCOMES.has(text) ? (text as CallOutcome) : CallOutcome.Unknown;
+}
+
+/** Seconds for `retry-after`, rounded up as RFC 9110 has no fractions. */
+export function toRetryAfterSeconds(retryAfterMs: number): string {
+  return String(Math.max(1, Math.ceil(retryAfterMs / 1000)));
+}
--- /dev/null
+++ b/packages/traffic/src/CactusdealTrafficResponse.ts
@@ -0,0 +1,40 @@
+import type { ServerResponse } from 'node:http';
+import type { AnswerSink } from './CactusdealTrafficAttempt.js';
+import { CallHeader, selectEndToEnd, findHeader } from './CactusdealTrafficHeaders.js';
+import { toRetryAfterSeconds } from './CactusdealTrafficRefusal.js';
+import { CallOutcome, type Refusal } from './CactusdealTrafficTypes.js';
+
+/** Creates a sink that passes an answer on to a caller's connection. */
+export function createResponseSink(response: ServerResponse): AnswerSink {
+  return {
+    start: (status, rawHeaders, resume) => {
+      response.on('drain', resume);
+      const upstreamMs = findHeader(rawHeaders, CallHeader.UpstreamMs);
+      const headers = selectEndToEnd(rawHeaders);
+      headers.push(CallHeader.Outcome, CallOutcome.Completed);
+      if (upstreamMs !== undefined) headers.push(CallHeader.UpstreamMs, upstreamMs);
+      if (response.hasHeader('connection')) headers.push('connection', 'close');
+      response.writeHead(status, headers);
+    },
+    write: (chunk) => response.write(chunk),
+    end: () => response.end(),
+    abort: () => response.destroy(),
+  };
+}
+
+/** Answers a call that the system refuses; nothing when the answer has begun or the caller left. */
+export function sendRefusal(response: ServerResponse, refusal: Refusal): void {
+  if (response.headersSent || response.destroyed) return;
+  const { kind, message, outcome, retryAfterMs } = refusal;
+  const body = JSON.stringify({ kind, message, outcome, retryAfterMs });
+  response.statusCode = refusal.status;
+  response.setHeader('content-type', 'application/json');
+  response.setHeader('content-length', Buffer.byteLength(body));
+  response.setHeader(CallHeader.Refusal, kind);
+  response.setHeader(CallHeader.Outcome, outcome);
+  if (retryAfterMs !== undefined) {
+    response.setHeader('retry-after', toRetryAfterSeconds(retryAfterMs));
+  }
+  if (!response.req.complete) response.setHeader('connection', 'close');
+  response.end(body);
+}
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -7,3 +7,19 @@
   type Refusal,
   RefusalKind,
 } from './CactusdealTrafficTypes.js';
+export { createFifoQueue, type FifoQueueOptions } from './CactusdealTrafficFifoQueue.js';
+export { CallHeader } from './CactusdealTrafficHeaders.js';
+export {
+  type CallListener,
+  type CallListenerOptions,
+  startCallListener,
+} from './CactusdealTrafficListener.js';
+export { createTrafficMetrics, type TrafficMetrics } from './CactusdealTrafficMetrics.js';
+export type {
+  AdmissionRequest,
+  Claims,
+  ClaimTicket,
+  GateQueue,
+  Quarantine,
+  Slot,
+} from './CactusdealTrafficPolicyTypes.js';
