Choose data centres by weight and gates by what calls observe

Cause: the choice knew neither weights nor refusals, failures or cold upstreams, and only a daemon could make calls. Ruled out: weights as plain shares of every caller's calls, which cross links also where each data centre could serve its own; one busy mark for a whole gate, which turns the urgent class away with the flood; ready times of another host's clock for the slow start. The caller library uses the same code.

--- a/packages/traffic/src/CactusdealTrafficBody.ts
+++ b/packages/traffic/src/CactusdealTrafficBody.ts
@@ -69,7 +69,12 @@
   return {
     take: () => {
       taken = true;
-      return source.pipe(createLimit(maxBytes));
+      const limited = source.pipe(createLimit(maxBytes));
+      limited.on('error', () => {});
+      source.once('close', () => {
+        if (!source.readableEnded) limited.destroy(new FailureError(refuseBroken()));
+      });
+      return limited;
     },
     canTake: () => !taken,
     peek: () => readFirstChunk(source),
--- a/packages/traffic/src/CactusdealTrafficEntry.ts
+++ b/packages/traffic/src/CactusdealTrafficEntry.ts
@@ -1,9 +1,10 @@
 import type { CompleteSettings } from '@cactusdeal/schema';
 import type { Clock, Log } from '@cactusdeal/shared';
 import { type AttemptResult, sendAttempt } from './CactusdealTrafficAttempt.js';
-import { type Balancer, type Choice, GateSign } from './CactusdealTrafficBalancer.js';
+import type { Balancer, Choice } from './CactusdealTrafficBalancer.js';
 import type { Call, CallEnd } from './CactusdealTrafficCall.js';
 import { buildTreeHeaders, explainFailure } from './CactusdealTrafficGate.js';
+import { GateSign } from './CactusdealTrafficGateState.js';
 import { CallHeader, findHeader } from './CactusdealTrafficHeaders.js';
 import type { TrafficMetrics } from './CactusdealTrafficMetrics.js';
 import type { Pools } from './CactusdealTrafficPools.js';
@@ -17,7 +18,7 @@
   readonly budget: RetryBudget;
   /** Connections to gates. */
   readonly pools: Pools;
-  readonly settings: CompleteSettings['calls'];
+  readonly settings: Pick<CompleteSettings['calls'], 'idleTimeoutMs'>;
   readonly metrics: TrafficMetrics;
   readonly log: Log;
   readonly clock: Clock;
@@ -134,9 +135,11 @@
     case RefusalKind.QueueFull:
     case RefusalKind.Shed:
     case RefusalKind.DeadlineUnmeetable:
+      return GateSign.Busy;
     case RefusalKind.Draining:
     case RefusalKind.NoUpstream:
-      return GateSign.Refused;
+    case RefusalKind.NoRoute:
+      return GateSign.Closed;
     default:
       return GateSign.None;
   }
--- a/packages/traffic/src/CactusdealTrafficIntake.ts
+++ b/packages/traffic/src/CactusdealTrafficIntake.ts
@@ -1,72 +1,100 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import type { CompleteSettings } from '@cactusdeal/schema';
 import type { Clock } from '@cactusdeal/shared';
-import { type Either, Left } from 'purify-ts';
-import { readBody } from './CactusdealTrafficBody.js';
-import { type Call, MAX_DEPTH, startCallLife } from './CactusdealTrafficCall.js';
+import { type Either, Left, Right } from 'purify-ts';
+import type { AnswerSink } from './CactusdealTrafficAttempt.js';
+import type { CallBody } from './CactusdealTrafficBody.js';
+import { type Call, type CallLife, MAX_DEPTH } from './CactusdealTrafficCall.js';
 import { CallHeader, selectEndToEnd } from './CactusdealTrafficHeaders.js';
-import type { CallRole } from './CactusdealTrafficMetrics.js';
 import { createNotRun } from './CactusdealTrafficRefusal.js';
-import { createResponseSink } from './CactusdealTrafficResponse.js';
-import { getRouteTable } from './CactusdealTrafficRouteTable.js';
+import { type CompiledRoute, getRouteTable } from './CactusdealTrafficRouteTable.js';
 import { type GetSnapshot, type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
 
 /** What taking in a call needs. */
 export interface IntakeParts {
   readonly getSnapshot: GetSnapshot;
-  readonly settings: CompleteSettings['calls'];
+  readonly settings: Pick<CompleteSettings['calls'], 'retryBudget'>;
   readonly clock: Clock;
 }
 
-/** Reads the head of a request, and a small body, into a call. */
-export async function acceptCall(
-  parts: IntakeParts,
-  role: CallRole,
-  request: IncomingMessage,
-  response: ServerResponse,
-): Promise<Either<Refusal, Call>> {
-  const startedAtMs = parts.clock();
-  const method = request.method ?? 'GET';
-  const path = request.url ?? '/';
+/** What a caller states of a call, before anything is decided. */
+export interface CallHead {
+  readonly method: string;
+  readonly path: string;
+  /** Alternating names and values, without hop-by-hop fields and ours. */
+  readonly headers: readonly string[];
+  readonly service: string | undefined;
+  readonly key: string | undefined;
+  readonly deadlineMs: number | undefined;
+  readonly budget: number | undefined;
+  readonly depth: number;
+}
+
+/** The head of a call whose route is known and that may go on. */
+export interface AcceptedHead {
+  readonly head: CallHead;
+  readonly route: CompiledRoute;
+  readonly startedAtMs: number;
+  readonly remainingMs: number;
+}
+
+/** Reads the head of an HTTP request. Values that cannot be read count as absent. */
+export function readHead(request: IncomingMessage): CallHead {
   const { headers } = request;
-  const service = readText(headers[CallHeader.Service]);
-  const route = getRouteTable(parts.getSnapshot()).match(service, method, path);
+  return {
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: selectEndToEnd(request.rawHeaders),
+    service: readText(headers[CallHeader.Service]),
+    key: readText(headers[CallHeader.IdempotencyKey]),
+    deadlineMs: readNumber(headers[CallHeader.DeadlineMs]),
+    budget: readNumber(headers[CallHeader.RetryBudget]),
+    depth: readNumber(headers[CallHeader.Depth]) ?? 0,
+  };
+}
+
+/** Finds the route of a call and refuses what can never be served. */
+export function acceptHead(parts: IntakeParts, head: CallHead): Either<Refusal, AcceptedHead> {
+  const route = getRouteTable(parts.getSnapshot()).match(head.service, head.method, head.path);
   if (route === undefined) {
-    return Left(createNotRun(RefusalKind.NoRoute, `no route for ${method} ${path}`));
+    return Left(createNotRun(RefusalKind.NoRoute, `no route for ${head.method} ${head.path}`));
   }
-  const depth = readNumber(headers[CallHeader.Depth]) ?? 0;
-  if (depth > MAX_DEPTH) {
+  if (head.depth > MAX_DEPTH) {
     return Left(createNotRun(RefusalKind.BudgetExhausted, `calls are nested above ${MAX_DEPTH}`));
   }
-  const key = readText(headers[CallHeader.IdempotencyKey]);
-  if (route.route.effect === 'atMostOnce' && key === undefined) {
+  if (route.route.effect === 'atMostOnce' && head.key === undefined) {
     return Left(createNotRun(RefusalKind.KeyMissing, `${CallHeader.IdempotencyKey} is required`));
   }
-  const allowedMs = readNumber(headers[CallHeader.DeadlineMs]) ?? route.route.deadlineMs;
-  const remainingMs = Math.min(allowedMs, route.route.deadlineMs);
-  const life = startCallLife(remainingMs);
-  response.once('close', () => {
-    if (!response.writableFinished) life.cancel();
+  const { deadlineMs } = route.route;
+  return Right({
+    head,
+    route,
+    startedAtMs: parts.clock(),
+    remainingMs: Math.min(head.deadlineMs ?? deadlineMs, deadlineMs),
   });
-  const contentLength = readNumber(headers['content-length']);
-  const chunked = headers['transfer-encoding'] !== undefined;
-  const body = await readBody(request, { contentLength, chunked }, route.route.maxBodyBytes);
-  if (body.isLeft()) life.close();
-  const budget = readNumber(headers[CallHeader.RetryBudget]) ?? parts.settings.retryBudget;
-  return body.map((read) => ({
-    method,
-    path,
-    headers: selectEndToEnd(request.rawHeaders),
+}
+
+/** Puts together a call from its parts; `levels` is 1 where the call enters the system. */
+export function buildCall(
+  parts: IntakeParts,
+  accepted: AcceptedHead,
+  rest: { readonly body: CallBody; readonly life: CallLife; readonly sink: AnswerSink },
+  levels: 0 | 1,
+): Call {
+  const { head, route, startedAtMs, remainingMs } = accepted;
+  const { retryBudget } = parts.settings;
+  return {
+    method: head.method,
+    path: head.path,
+    headers: head.headers,
     route,
-    key,
+    key: head.key,
     startedAtMs,
     deadlineAtMs: startedAtMs + remainingMs,
-    budget: Math.min(budget, parts.settings.retryBudget),
-    depth: role === 'entry' ? depth + 1 : depth,
-    body: read,
-    life,
-    sink: createResponseSink(response),
-  }));
+    budget: Math.min(head.budget ?? retryBudget, retryBudget),
+    depth: head.depth + levels,
+    ...rest,
+  };
 }
 
 function readText(value: string | string[] | undefined): string | undefined {
@@ -75,7 +103,7 @@
 }
 
 /** A number that is not negative; undefined for anything else. */
-function readNumber(value: string | string[] | undefined): number | undefined {
+export function readNumber(value: string | string[] | undefined): number | undefined {
   const text = readText(value);
   if (text === undefined) return undefined;
   const number = Number(text);
--- a/packages/traffic/src/CactusdealTrafficListener.ts
+++ b/packages/traffic/src/CactusdealTrafficListener.ts
@@ -2,22 +2,25 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { CompleteSettings } from '@cactusdeal/schema';
 import { type Clock, formatCaught, type Log, type Random } from '@cactusdeal/shared';
+import { type Either, Left } from 'purify-ts';
 import { createBalancer } from './CactusdealTrafficBalancer.js';
-import { type Call, type CallEnd } from './CactusdealTrafficCall.js';
+import { type CallBody, readBody } from './CactusdealTrafficBody.js';
+import { type Call, type CallEnd, startCallLife } from './CactusdealTrafficCall.js';
 import { type EntryParts, serveAtEntry } from './CactusdealTrafficEntry.js';
 import { type GateParts, serveAtGate } from './CactusdealTrafficGate.js';
 import { CallHeader } from './CactusdealTrafficHeaders.js';
-import { acceptCall } from './CactusdealTrafficIntake.js';
+import { acceptHead, buildCall, readHead, readNumber } from './CactusdealTrafficIntake.js';
 import type { CallRole, TrafficMetrics } from './CactusdealTrafficMetrics.js';
 import type { Claims, GateQueue, Quarantine } from './CactusdealTrafficPolicyTypes.js';
-import { createPools } from './CactusdealTrafficPools.js';
+import { createGatePools, createPools } from './CactusdealTrafficPools.js';
 import { createNotRun } from './CactusdealTrafficRefusal.js';
-import { sendRefusal } from './CactusdealTrafficResponse.js';
+import { createResponseSink, sendRefusal } from './CactusdealTrafficResponse.js';
 import { createRetryBudget } from './CactusdealTrafficRetryBudget.js';
 import {
   type Directory,
   type GetSnapshot,
   type LocalWorker,
+  type Refusal,
   RefusalKind,
 } from './CactusdealTrafficTypes.js';
 
@@ -51,9 +54,6 @@
   close(): Promise<void>;
 }
 
-const CONNECT_TIMEOUT_MS = 1000;
-const KEEP_ALIVE_MS = 4000;
-const CONNECTIONS_PER_GATE = 128;
 const MAX_HEADER_BYTES = 16 * 1024;
 
 /** Starts listening. Rejects with the socket's error when the address cannot be bound. */
@@ -125,9 +125,9 @@
     response: ServerResponse,
     gateName: string,
   ): Promise<void> {
-    const accepted = await acceptCall(options, role, request, response);
+    const accepted = await acceptRequest(role, request, response);
     if (accepted.isLeft()) {
-      const refusal = accepted.swap().unsafeCoerce();
+      const refusal = accepted.extract();
       options.metrics.recordRefusal(role, refusal);
       sendRefusal(response, refusal);
       return;
@@ -140,6 +140,25 @@
     if (end.type === 'refused') sendRefusal(response, end.refusal);
   }
 
+  async function acceptRequest(
+    role: CallRole,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Either<Refusal, Call>> {
+    const head = acceptHead(options, readHead(request));
+    if (head.isLeft()) return Left(head.extract());
+    const accepted = head.unsafeCoerce();
+    const life = startCallLife(accepted.remainingMs);
+    response.once('close', () => {
+      if (!response.writableFinished) life.cancel();
+    });
+    const body = await readRequestBody(request, accepted.route.route.maxBodyBytes);
+    if (body.isLeft()) life.close();
+    const sink = createResponseSink(response);
+    const levels = role === 'entry' ? 1 : 0;
+    return body.map((read) => buildCall(options, accepted, { body: read, life, sink }, levels));
+  }
+
   async function drain(): Promise<void> {
     draining = true;
     if (inFlight.size === 0) return;
@@ -155,25 +174,30 @@
   }
 }
 
+function readRequestBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Either<Refusal, CallBody>> {
+  const contentLength = readNumber(request.headers['content-length']);
+  const chunked = request.headers['transfer-encoding'] !== undefined;
+  return readBody(request, { contentLength, chunked }, maxBytes);
+}
+
 function buildGate(options: CallListenerOptions): GateParts {
-  const pools = createPools({
-    connections: options.settings.connectionsPerWorker,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    keepAliveMs: KEEP_ALIVE_MS,
-  });
-  return { ...options, pools };
+  return { ...options, pools: createPools(options.settings.connectionsPerWorker) };
 }
 
 function buildEntry(options: CallListenerOptions, gate: GateParts): EntryParts {
+  const { memberId, queue } = options;
+  const isFree = (): boolean => {
+    const { slots, inUse, queued } = queue.getGauges();
+    return queued === 0 && inUse < slots;
+  };
   return {
     ...options,
-    balancer: createBalancer(options),
+    balancer: createBalancer({ ...options, ownGate: { memberId, isFree } }),
     budget: createRetryBudget(),
-    pools: createPools({
-      connections: CONNECTIONS_PER_GATE,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      keepAliveMs: KEEP_ALIVE_MS,
-    }),
+    pools: createGatePools(),
     serveLocally: (call, { worker }) => serveAtGate(gate, call, worker),
   };
 }
--- a/packages/traffic/src/CactusdealTrafficPools.ts
+++ b/packages/traffic/src/CactusdealTrafficPools.ts
@@ -1,13 +1,5 @@
 import { Pool } from 'undici';
 
-/** How connections to one address are kept. */
-export interface PoolOptions {
-  readonly connections: number;
-  readonly connectTimeoutMs: number;
-  /** How long an unused connection is kept, in milliseconds. */
-  readonly keepAliveMs: number;
-}
-
 /** The connections to each address. */
 export interface Pools {
   get(address: string): Pool;
@@ -19,8 +11,17 @@
   close(): Promise<void>;
 }
 
-/** Creates the pools, empty; each opens connections as requests need them. */
-export function createPools(options: PoolOptions): Pools {
+const CONNECT_TIMEOUT_MS = 1000;
+const KEEP_ALIVE_MS = 4000;
+const CONNECTIONS_PER_GATE = 128;
+
+/** Creates the pools of connections to gates. */
+export function createGatePools(): Pools {
+  return createPools(CONNECTIONS_PER_GATE);
+}
+
+/** Creates the pools, empty; each takes up to `connections` and opens connections as requests need them. */
+export function createPools(connections: number): Pools {
   const pools = new Map<string, Pool>();
   const closing = new Set<Promise<void>>();
 
@@ -28,7 +29,7 @@
     get: (address) => {
       const known = pools.get(address);
       if (known !== undefined) return known;
-      const pool = createPool(address, options);
+      const pool = createPool(address, connections);
       pools.set(address, pool);
       return pool;
     },
@@ -53,13 +54,13 @@
   }
 }
 
-function createPool(address: string, options: PoolOptions): Pool {
+function createPool(address: string, connections: number): Pool {
   return new Pool(`http://${address}`, {
-    connections: options.connections,
+    connections,
     pipelining: 1,
-    connectTimeout: options.connectTimeoutMs,
-    keepAliveTimeout: options.keepAliveMs,
-    keepAliveMaxTimeout: options.keepAliveMs,
+    connectTimeout: CONNECT_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
   });
 }
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -7,6 +7,13 @@
   type Refusal,
   RefusalKind,
 } from './CactusdealTrafficTypes.js';
+export {
+  type Caller,
+  type CallerAnswer,
+  type CallerOptions,
+  type CallerRequest,
+  createCaller,
+} from './CactusdealTrafficCaller.js';
 export { createFifoQueue, type FifoQueueOptions } from './CactusdealTrafficFifoQueue.js';
 export { CallHeader } from './CactusdealTrafficHeaders.js';
 export {
