--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,12 +3,12 @@
 
 const VERBS = [
   'accept|add|admit|announce|answer|append|apply|assert|batch|build|cancel|check|choose|claim|close|collect',
-  'commit|compare|compute|confirm|connect|convert|count|create|decode|diff|discard|drain|emit|encode|evict',
-  'explain|fetch|find|finish|flush|format|forward|get|grant|handle|has|hash|hold|invariant|is|join|leave|list|load',
+  'commit|compare|compute|confirm|connect|convert|count|create|decode|diff|discard|drain|emit|encode|evict|expand|fill',
+  'explain|fetch|find|finish|flush|format|forward|get|grant|group|handle|has|hash|hold|invariant|is|join|leave|list|listen|load',
   'log|main|match|measure|merge|observe|open|parse|pick|plan|print|probe|publish|push|quarantine|read|receive',
   'record|refuse|register|reject|release|remove|render|renew|replace|report|resolve|retry|route|run|schedule',
   'select|send|serve|set|settle|share|shed|should|split|start|stop|subscribe|suspect|swap|sync|take|to|track|trim',
-  'try|update|use|validate|wait|warn|watch|wire|with|write',
+  'try|update|use|validate|wait|warn|watch|wire|with|wrap|write',
 ].join('|');
 
 export default [
--- /dev/null
+++ b/packages/client/src/CactusdealClientCommands.ts
@@ -0,0 +1,230 @@
+import { userInfo } from 'node:os';
+import type { Intent, Plan } from '@cactusdeal/schema';
+import type { Failure } from '@cactusdeal/shared';
+import { cac } from 'cac';
+import { type Either, Right } from 'purify-ts';
+import {
+  createDaemonClient,
+  type DaemonClient,
+  type DaemonFailure,
+} from './CactusdealClientDaemon.js';
+import { formatPlan, formatValue } from './CactusdealClientFormat.js';
+import {
+  buildRouteIntent,
+  buildServiceIntent,
+  checkIntent,
+  type Flags,
+  loadOperationsIntent,
+  parseWeights,
+  type UsageFailure,
+  wrapOperation,
+} from './CactusdealClientIntents.js';
+
+/** Exit codes of `cactusctl`. */
+export const ExitCode = {
+  Done: 0,
+  /** The daemon refused; nothing was written. */
+  Refused: 1,
+  /** The command line is wrong; nothing was sent. */
+  Usage: 2,
+  /** The daemon could not be reached; nothing was written. */
+  Unreachable: 3,
+  /** The answer was lost; ask `status` or confirm the same plan again. */
+  Unknown: 4,
+} as const;
+export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
+
+/** Where the client writes. */
+export interface Output {
+  readonly print: (line: string) => void;
+  readonly printError: (line: string) => void;
+}
+
+type CommandFailure = UsageFailure | DaemonFailure;
+type CommandResult = Either<CommandFailure, { readonly value: unknown; readonly text: string }>;
+type Command = (daemon: DaemonClient, flags: Flags) => Promise<CommandResult>;
+
+const DEFAULT_DAEMON = '127.0.0.1:7003';
+const UNKNOWN_STATUS = 502;
+
+/** Runs one command line and answers the exit code. */
+export async function runClient(argv: readonly string[], output: Output): Promise<ExitCode> {
+  const program = cac('cactusctl');
+  let chosen: { readonly command: Command; readonly flags: Flags } | undefined;
+  const choose = (command: Command, flags: Flags): void => {
+    chosen = { command, flags };
+  };
+  registerIntents(program, choose);
+  registerReads(program, choose);
+  program.option('--daemon <address>', 'Admin address of a daemon', { default: DEFAULT_DAEMON });
+  program.option('--operator <name>', 'Name that the log keeps', { default: userInfo().username });
+  program.option('--json', 'Print JSON');
+  program.help();
+  try {
+    program.parse([...argv]);
+  } catch (caught) {
+    output.printError(caught instanceof Error ? caught.message : String(caught));
+    return ExitCode.Usage;
+  }
+  if (program.options.help) return ExitCode.Done;
+  if (chosen === undefined) {
+    output.printError('no such command; see cactusctl --help');
+    return ExitCode.Usage;
+  }
+  return runCommand(chosen.command, chosen.flags, output);
+}
+
+async function runCommand(command: Command, flags: Flags, output: Output): Promise<ExitCode> {
+  const daemon = createDaemonClient(String(flags.daemon));
+  const result = await command(daemon, flags);
+  return result.caseOf({
+    Left: (failure) => reportFailure(failure, flags, output),
+    Right: ({ value, text }) => {
+      output.print(flags.json ? JSON.stringify(value) : text);
+      return ExitCode.Done;
+    },
+  });
+}
+
+function reportFailure(failure: CommandFailure, flags: Flags, output: Output): ExitCode {
+  output.printError(
+    flags.json ? JSON.stringify(failure) : `refused: ${failure.kind}: ${failure.message}`,
+  );
+  if (!('source' in failure)) return ExitCode.Usage;
+  if (failure.source === 'refused') {
+    return failure.status === UNKNOWN_STATUS ? ExitCode.Unknown : ExitCode.Refused;
+  }
+  return failure.kind === 'DaemonUnreachable' ? ExitCode.Unreachable : ExitCode.Unknown;
+}
+
+function registerIntents(
+  program: ReturnType<typeof cac>,
+  choose: (command: Command, flags: Flags) => void,
+): void {
+  const register = (
+    usage: string,
+    help: string,
+    build: (words: readonly string[], flags: Flags) => IntentSource,
+    options: readonly (readonly [string, string])[] = [],
+  ): void => {
+    const command = program.command(usage, help);
+    options.forEach(([flag, text]) => command.option(flag, text));
+    command.action((...args: unknown[]) => {
+      const flags = args.at(-1) as Flags;
+      const words = args.slice(0, -1).flat().map(String);
+      choose((daemon) => sendIntent(daemon, build(words, flags), flags), flags);
+    });
+  };
+  register(
+    'weights <service> <...pairs>',
+    'Plan the weights of a service: DATA-CENTRE=NUMBER …',
+    ([service, ...pairs]) =>
+      parseWeights(pairs).chain((weights) => checkIntent({ type: 'setWeights', service, weights })),
+  );
+  register(
+    'drain <worker>',
+    'Plan that a worker gets no new calls',
+    ([worker], flags) =>
+      checkIntent({
+        type: 'drainWorker',
+        worker,
+        service: flags.service,
+        reason: String(flags.reason ?? ''),
+      }),
+    [
+      ['--service <name>', 'Service of the worker'],
+      ['--reason <text>', 'Reason, kept in the log'],
+    ],
+  );
+  register('undrain <worker>', 'Plan that a worker gets calls again', ([worker]) =>
+    checkIntent({ type: 'undrainWorker', worker }),
+  );
+  register(
+    'set-service <name>',
+    'Plan to add or change a service',
+    ([name], flags) => buildServiceIntent(name ?? '', flags),
+    [
+      ['--tenant <name>', 'Tenant that the service belongs to'],
+      ['--queue-limit <calls>', 'Calls that may wait at one gate (100)'],
+      ['--weight <pair>', 'DATA-CENTRE=NUMBER, may be given several times'],
+    ],
+  );
+  register('remove-service <name>', 'Plan to remove a service', ([name]) =>
+    checkIntent(wrapOperation({ type: 'removeService', name: name ?? '' })),
+  );
+  register(
+    'set-route <name>',
+    'Plan to add or change a route',
+    ([name], flags) => buildRouteIntent(name ?? '', flags),
+    [
+      ['--service <name>', 'Service that the route leads to'],
+      ['--method <method>', 'HTTP method or * (*)'],
+      ['--path <prefix>', 'Path prefix'],
+      ['--rank <rank>', 'critical, high, normal or low (normal)'],
+      ['--class <name>', 'Class for shares and metrics (the route)'],
+      ['--deadline-ms <ms>', 'Deadline in milliseconds (10000)'],
+      ['--effect <effect>', 'idempotent or atMostOnce (idempotent)'],
+      ['--share <part>', 'Guaranteed part of the slots, 0 to 1 (0)'],
+      ['--worth <number>', 'Value of one call done in time (1)'],
+      ['--max-body-bytes <bytes>', 'Largest request body (1048576)'],
+    ],
+  );
+  register('remove-route <name>', 'Plan to remove a route', ([name]) =>
+    checkIntent(wrapOperation({ type: 'removeRoute', name: name ?? '' })),
+  );
+  register('apply <file>', 'Plan the operations of a TOML or JSON file', ([file]) =>
+    loadOperationsIntent(file ?? ''),
+  );
+  register('revert <version>', 'Plan to go back to an older version, as a new one', ([version]) =>
+    checkIntent({ type: 'revert', toVersion: Number(version) }),
+  );
+}
+
+type IntentSource = Either<UsageFailure, Intent> | Promise<Either<UsageFailure, Intent>>;
+
+async function sendIntent(
+  daemon: DaemonClient,
+  source: IntentSource,
+  flags: Flags,
+): Promise<CommandResult> {
+  const intent = await source;
+  if (intent.isLeft()) return intent;
+  const body = { operator: flags.operator, intent: intent.extract() };
+  const answer = await daemon.post('/v1/plans', body);
+  return answer.map((value) => ({ value, text: formatPlan(value as Plan) }));
+}
+
+function registerReads(
+  program: ReturnType<typeof cac>,
+  choose: (command: Command, flags: Flags) => void,
+): void {
+  program
+    .command('confirm <plan>', 'Bring a plan into force; doing it twice applies it once')
+    .action((plan: string, flags: Flags) => {
+      choose(async (daemon) => {
+        const body = { operator: flags.operator };
+        const answer = await daemon.post(`/v1/plans/${encodeURIComponent(plan)}/confirm`, body);
+        return answer.map((value) => ({ value, text: formatValue(value) }));
+      }, flags);
+    });
+  const registerRead = (verb: string, help: string, path: string): void => {
+    program.command(verb, help).action((flags: Flags) => {
+      choose((daemon) => readPath(daemon, path), flags);
+    });
+  };
+  registerRead(
+    'status',
+    'Version in force, who holds it, refusals, drains',
+    '/v1/status?scope=all',
+  );
+  registerRead('history', 'Accepted changes, newest first', '/v1/history');
+  registerRead('show', 'The configuration that the daemon holds', '/v1/snapshot');
+}
+
+async function readPath(daemon: DaemonClient, path: string): Promise<CommandResult> {
+  const answer = await daemon.get(path);
+  return answer.chain((value) => Right({ value, text: formatValue(value) }));
+}
+
+/** Every failure that a command may report, for callers of the library. */
+export type ClientFailure = Failure & CommandFailure;
