--- /dev/null
+++ b/packages/platform/src/CactusdealPlatformHttp.ts
@@ -0,0 +1,222 @@
+import {
+  type Clock,
+  createSilentLog,
+  formatCaught,
+  getMonotonicMs,
+  type Log,
+} from '@cactusdeal/shared';
+import { type Either, Left, Right } from 'purify-ts';
+import { Agent, type Dispatcher } from 'undici';
+import { createCallBudget } from './CactusdealPlatformBudget.js';
+import { buildNotDone, buildUnknown, checkLimits } from './CactusdealPlatformLimits.js';
+import type {
+  Platform,
+  PlatformFailure,
+  PlatformLease,
+  PlatformRecord,
+  WriteOutcome,
+} from './CactusdealPlatformPort.js';
+
+/** Header that carries a record's revision, in answers. */
+export const REVISION_HEADER = 'cactusdeal-revision';
+
+export interface HttpPlatformOptions {
+  /** Base URL of the service. */
+  readonly url: string;
+  /** Longest wait for one answer, in milliseconds; a watch waits its own time besides. */
+  readonly timeoutMs: number;
+  /** Most calls a second that this process makes. */
+  readonly callsPerSecond: number;
+  readonly log?: Log;
+  readonly clock?: Clock;
+}
+
+interface HttpAnswer {
+  readonly status: number;
+  readonly revision: number;
+  readonly body: Uint8Array;
+}
+
+interface HttpCall {
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly body?: Uint8Array;
+  /** Time that the server may hold the call, beside the timeout. */
+  readonly waitMs?: number;
+  readonly signal?: AbortSignal | undefined;
+}
+
+type Send = (call: HttpCall) => Promise<Either<PlatformFailure, HttpAnswer>>;
+
+const MAX_CONNECTIONS = 16;
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_PRECONDITION_FAILED = 412;
+const STATUS_SERVER_ERROR = 500;
+const STATUS_UNAVAILABLE = 503;
+
+/** Errors of a connection that never came to be, so that no byte of the call was sent. */
+const UNSENT_CODES: readonly string[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'UND_ERR_DESTROYED',
+  'UND_ERR_CLOSED',
+];
+
+/**
+ * Creates a client of the platform's service over HTTP. A refusal that the server states (any 4xx,
+ * and 503), a refused connection and a spent budget are `NotDone`; a timeout, a reset or any other
+ * 5xx after the call was sent is `Unknown`.
+ */
+export function createHttpPlatform(options: HttpPlatformOptions): Platform {
+  const agent = new Agent({
+    connections: MAX_CONNECTIONS,
+    pipelining: 1,
+    connect: { timeout: options.timeoutMs },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  const send = createSender(agent, options);
+  return {
+    get: (key) => readRecord(send, key, { method: 'GET', path: `/v1/kv/${encode(key)}` }),
+    createIfAbsent: (key, value, leaseId) => writeRecord(send, key, 0, value, leaseId),
+    compareAndSwap: (key, expectedRevision, value, leaseId) =>
+      writeRecord(send, key, expectedRevision, value, leaseId),
+    remove: (key, expectedRevision) => removeRecord(send, key, expectedRevision),
+    grantLease: (ttlMs) => grantLease(send, ttlMs),
+    renewLease: (leaseId) => updateLease(send, 'PUT', leaseId),
+    revokeLease: (leaseId) => updateLease(send, 'DELETE', leaseId),
+    watch: (key, afterRevision, waitMs, signal) => {
+      const path = `/v1/watch/${encode(key)}?after=${afterRevision}&waitMs=${Math.ceil(waitMs)}`;
+      return readRecord(send, key, { method: 'GET', path, waitMs, signal });
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+function encode(key: string): string {
+  return encodeURIComponent(key);
+}
+
+function createSender(agent: Agent, options: HttpPlatformOptions): Send {
+  const budget = createCallBudget(options.callsPerSecond, options.clock ?? getMonotonicMs);
+  const log = options.log ?? createSilentLog();
+  return async (call) => {
+    if (call.signal?.aborted) return Left(buildNotDone('the call was cancelled'));
+    if (!budget.take()) {
+      log.warn('platform-budget-spent', { method: call.method, path: call.path });
+      return Left(buildNotDone(`the budget of ${options.callsPerSecond} calls a second is spent`));
+    }
+    try {
+      return refuseFailed(await sendRequest(agent, options, call));
+    } catch (caught) {
+      const failure = toFailure(caught);
+      log.warn('platform-call-failed', { path: call.path, ...failure });
+      return Left(failure);
+    }
+  };
+}
+
+async function sendRequest(
+  agent: Agent,
+  { url, timeoutMs }: HttpPlatformOptions,
+  call: HttpCall,
+): Promise<HttpAnswer> {
+  const deadline = AbortSignal.timeout(timeoutMs + (call.waitMs ?? 0));
+  const signal = call.signal === undefined ? deadline : AbortSignal.any([deadline, call.signal]);
+  const response = await agent.request({
+    origin: url,
+    path: call.path,
+    method: call.method,
+    body: call.body ?? null,
+    signal,
+  });
+  const body = new Uint8Array(await response.body.arrayBuffer());
+  const revision = Number(response.headers[REVISION_HEADER] ?? 0);
+  return { status: response.statusCode, revision, body };
+}
+
+/** Sorts out the statuses that are no answer of the service itself. */
+function refuseFailed(answer: HttpAnswer): Either<PlatformFailure, HttpAnswer> {
+  const { status } = answer;
+  const isAnswer =
+    status === STATUS_OK || status === STATUS_NOT_FOUND || status === STATUS_PRECONDITION_FAILED;
+  if (isAnswer) return Right(answer);
+  const message = `status ${status}: ${new TextDecoder().decode(answer.body).slice(0, 200)}`;
+  const isUnknown = status >= STATUS_SERVER_ERROR && status !== STATUS_UNAVAILABLE;
+  return Left(isUnknown ? buildUnknown(message) : buildNotDone(message));
+}
+
+function toFailure(caught: unknown): PlatformFailure {
+  const { code } = caught as { code?: unknown };
+  const message = formatCaught(caught);
+  return UNSENT_CODES.includes(String(code)) ? buildNotDone(message) : buildUnknown(message);
+}
+
+async function readRecord(
+  send: Send,
+  key: string,
+  call: HttpCall,
+): Promise<Either<PlatformFailure, PlatformRecord | undefined>> {
+  const failure = checkLimits(key);
+  if (failure !== undefined) return Left(failure);
+  const answer = await send(call);
+  return answer.map(toRecord);
+}
+
+function toRecord(answer: HttpAnswer): PlatformRecord | undefined {
+  if (answer.revision === 0) return undefined;
+  return { value: answer.body, revision: answer.revision };
+}
+
+async function writeRecord(
+  send: Send,
+  key: string,
+  expectedRevision: number,
+  value: Uint8Array,
+  leaseId: string | undefined,
+): Promise<Either<PlatformFailure, WriteOutcome>> {
+  const failure = checkLimits(key, value);
+  if (failure !== undefined) return Left(failure);
+  const lease = leaseId === undefined ? '' : `&lease=${encode(leaseId)}`;
+  const path = `/v1/kv/${encode(key)}?revision=${expectedRevision}${lease}`;
+  const answer = await send({ method: 'PUT', path, body: value });
+  return answer.map(toOutcome);
+}
+
+async function removeRecord(
+  send: Send,
+  key: string,
+  expectedRevision: number,
+): Promise<Either<PlatformFailure, WriteOutcome>> {
+  const failure = checkLimits(key);
+  if (failure !== undefined) return Left(failure);
+  const path = `/v1/kv/${encode(key)}?revision=${expectedRevision}`;
+  const answer = await send({ method: 'DELETE', path });
+  return answer.map(toOutcome);
+}
+
+function toOutcome(answer: HttpAnswer): WriteOutcome {
+  if (answer.status === STATUS_OK) return { written: true, revision: answer.revision };
+  return { written: false, current: toRecord(answer) };
+}
+
+async function grantLease(
+  send: Send,
+  ttlMs: number,
+): Promise<Either<PlatformFailure, PlatformLease>> {
+  const answer = await send({ method: 'POST', path: `/v1/lease?ttlMs=${Math.ceil(ttlMs)}` });
+  return answer.map(({ body }) => ({ id: new TextDecoder().decode(body), ttlMs }));
+}
+
+async function updateLease(
+  send: Send,
+  method: 'PUT' | 'DELETE',
+  leaseId: string,
+): Promise<Either<PlatformFailure, boolean>> {
+  const answer = await send({ method, path: `/v1/lease/${encode(leaseId)}` });
+  return answer.map(({ status }) => status === STATUS_OK);
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,3 +1,11 @@
+export { type CallBudget, createCallBudget } from './CactusdealPlatformBudget.js';
+export {
+  createHttpPlatform,
+  type HttpPlatformOptions,
+  REVISION_HEADER,
+} from './CactusdealPlatformHttp.js';
+export { buildNotDone, buildUnknown, MAX_VALUE_BYTES } from './CactusdealPlatformLimits.js';
+export { createMemoryPlatform, type MemoryPlatformOptions } from './CactusdealPlatformMemory.js';
 export {
   type Platform,
   type PlatformFailure,
--- a/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
+++ b/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
@@ -105,7 +105,7 @@
   baseVersion: number;
   planId: string;
   /**
-   * @minItems 1
+   * @minItems 0
    * @maxItems 20000
    */
   operations: Operation[];
@@ -115,6 +115,10 @@
   hash: string;
   operator: string;
   acceptedAtMs: number;
+  /**
+   * Set by a reader in place of a log value that is no entry, with the reason; such a version is rejected.
+   */
+  unreadable?: string;
 }
 export interface SetService {
   type: 'setService';
@@ -545,7 +549,7 @@
           "items": {
             "$ref": "#/definitions/Operation"
           },
-          "minItems": 1,
+          "minItems": 0,
           "maxItems": 20000
         },
         "hash": {
@@ -561,6 +565,11 @@
         "acceptedAtMs": {
           "type": "integer",
           "minimum": 0
+        },
+        "unreadable": {
+          "description": "Set by a reader in place of a log value that is no entry, with the reason; such a version is rejected.",
+          "type": "string",
+          "maxLength": 300
         }
       }
     },
