Join daemons in a thin mesh: overlay, broadcast, digest, survey, leave

Cause: the daemon needs membership and dissemination to build against. Ruled out: a hub per data centre, whose heartbeats alone pass 4 KB/s at 1,600 members; a separate passive view kept by shuffles, since every daemon holds the member table whole and can draw from it.

--- /dev/null
+++ b/packages/mesh/src/CactusdealMeshFrame.ts
@@ -0,0 +1,65 @@
+import { FailureError } from '@cactusdeal/shared';
+import { Encoder } from 'cbor-x';
+import { createMeshFailure, MeshFailureKind } from './CactusdealMeshFailure.js';
+
+/** Bytes of the big-endian length before each frame's body. */
+export const FRAME_HEADER_BYTES = 4;
+/** Longest body of a frame. */
+export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+const codec = new Encoder({ useRecords: false, variableMapSize: true });
+
+/** Encodes a value as one frame: a 4-byte big-endian length and the CBOR body. */
+export function encodeFrame(value: unknown): Buffer {
+  const body = codec.encode(value);
+  const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, FRAME_HEADER_BYTES);
+  return frame;
+}
+
+/**
+ * Splits a byte stream into decoded frames.
+ *
+ * @throws FailureError of kind FrameOversized or FrameMalformed.
+ */
+export async function* readFrames(
+  source: AsyncIterable<Buffer>,
+  maxFrameBytes: number = MAX_FRAME_BYTES,
+): AsyncGenerator<unknown, void, undefined> {
+  const pending: Buffer[] = [];
+  let pendingBytes = 0;
+  let wantedBytes = FRAME_HEADER_BYTES;
+  for await (const chunk of source) {
+    pending.push(chunk);
+    pendingBytes += chunk.length;
+    if (pendingBytes < wantedBytes) continue;
+    let buffer = pending.length === 1 ? chunk : Buffer.concat(pending);
+    pending.length = 0;
+    while (buffer.length >= FRAME_HEADER_BYTES) {
+      const frameBytes = FRAME_HEADER_BYTES + checkLength(buffer.readUInt32BE(0), maxFrameBytes);
+      wantedBytes = frameBytes;
+      if (buffer.length < frameBytes) break;
+      yield decodeBody(buffer.subarray(FRAME_HEADER_BYTES, frameBytes));
+      buffer = buffer.subarray(frameBytes);
+      wantedBytes = FRAME_HEADER_BYTES;
+    }
+    pendingBytes = buffer.length;
+    if (buffer.length > 0) pending.push(buffer);
+  }
+}
+
+function checkLength(bodyBytes: number, maxFrameBytes: number): number {
+  if (bodyBytes <= maxFrameBytes) return bodyBytes;
+  const message = `frame of ${bodyBytes} bytes, at most ${maxFrameBytes} allowed`;
+  throw new FailureError(createMeshFailure(MeshFailureKind.FrameOversized, message));
+}
+
+function decodeBody(body: Buffer): unknown {
+  try {
+    return codec.decode(body);
+  } catch (caught) {
+    const message = `frame does not decode: ${String(caught)}`;
+    throw new FailureError(createMeshFailure(MeshFailureKind.FrameMalformed, message));
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/CactusdealMeshHash.ts
@@ -0,0 +1,8 @@
+import { createHash } from 'node:crypto';
+
+const HASH_BYTES = 6;
+
+/** Hashes text to a 48-bit unsigned integer, the same on every machine. */
+export function hashText(text: string): number {
+  return createHash('md5').update(text).digest().readUIntBE(0, HASH_BYTES);
+}
--- /dev/null
+++ b/packages/mesh/src/CactusdealMeshListener.ts
@@ -0,0 +1,43 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import { parseAddress } from './CactusdealMeshConnection.js';
+
+/** A bound TCP listener. */
+export interface Listener {
+  /** Address bound, with the port that was taken. */
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+/** Binds `address`; port 0 takes a free one. Rejects with the system's error when it cannot. */
+export function openListener(
+  address: string,
+  acceptSocket: (socket: Socket) => void,
+): Promise<Listener> {
+  const { host, port } = parseAddress(address);
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+    acceptSocket(socket);
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ host, port }, () => {
+      server.off('error', reject);
+      resolve({ address: formatBound(server, address), close: () => closeServer(server, sockets) });
+    });
+  });
+}
+
+function formatBound(server: Server, address: string): string {
+  const bound = server.address();
+  const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
+  return `${address.slice(0, address.lastIndexOf(':'))}:${port}`;
+}
+
+function closeServer(server: Server, sockets: ReadonlySet<Socket>): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    sockets.forEach((socket) => socket.destroySoon());
+  });
+}
--- /dev/null
+++ b/packages/mesh/src/__tests__/unit/CactusdealMesh.test.ts
@@ -0,0 +1,105 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Mesh } from '../../CactusdealMeshTypes.js';
+import {
+  closeMeshes,
+  countAlive,
+  createEntry,
+  createFakeState,
+  startMesh,
+  startMeshes,
+  waitUntil,
+} from './CactusdealMeshFixture.js';
+
+const COUNT = 20;
+
+async function withMeshes(count: number, run: (meshes: Mesh[]) => Promise<void>): Promise<void> {
+  const meshes = await startMeshes(count);
+  try {
+    await waitUntil(() => meshes.every((mesh) => countAlive(mesh) === count), 'all know all');
+    await run(meshes);
+  } finally {
+    await closeMeshes(meshes);
+  }
+}
+
+describe('mesh of one data centre', () => {
+  it('joins all members with a bounded degree', () =>
+    withMeshes(COUNT, async (meshes) => {
+      await waitUntil(
+        () => meshes.every((mesh) => Number(mesh.getCounters().degree) >= 3),
+        'every member has neighbours',
+      );
+      meshes.forEach((mesh) => assert.ok(Number(mesh.getCounters().degree) <= 6));
+    }));
+
+  it('spreads entries, workers and notices to every member', async () => {
+    const states = Array.from({ length: COUNT }, () => createFakeState());
+    const meshes = await startMeshes(COUNT, (index) => ({ state: states[index] as never }));
+    try {
+      await waitUntil(() => meshes.every((mesh) => countAlive(mesh) === COUNT), 'all know all');
+      const heard = new Set<number>();
+      meshes.forEach((mesh, index) =>
+        mesh.observeNotices((topic, value) => {
+          assert.deepEqual([topic, value], ['quarantine', { fingerprint: 'x' }]);
+          heard.add(index);
+        }),
+      );
+      for (let version = 1; version <= 5; version += 1) {
+        states[0]?.acceptEntry(createEntry(version));
+        meshes[0]?.publishEntry(createEntry(version));
+      }
+      meshes[1]?.publishNotice('quarantine', 'q1', { fingerprint: 'x' });
+      const worker = {
+        name: 'w1',
+        services: ['paint'],
+        slots: 4,
+        state: 'ready' as const,
+        readyAtMs: 1,
+      };
+      meshes[2]?.setWorker(worker);
+      await waitUntil(() => states.every((state) => state.version === 5), 'version 5 everywhere');
+      await waitUntil(() => heard.size === COUNT - 1, 'the notice everywhere');
+      await waitUntil(
+        () =>
+          meshes.every((mesh) =>
+            mesh.getMembers().some((record) => record.worker?.state === 'ready'),
+          ),
+        'the worker everywhere',
+      );
+    } finally {
+      await closeMeshes(meshes);
+    }
+  });
+
+  it('counts the versions held by all in a survey', () =>
+    withMeshes(COUNT, async (meshes) => {
+      const result = await (meshes[3] as Mesh).survey(1, 5000);
+      assert.equal(result.answered, COUNT);
+      assert.equal(result.expected, COUNT);
+      assert.equal(result.stragglers.length, 16);
+    }));
+
+  it('takes a member that left out of every table', () =>
+    withMeshes(COUNT, async (meshes) => {
+      await meshes[5]?.close();
+      await waitUntil(
+        () => meshes.every((mesh, index) => index === 5 || countAlive(mesh) === COUNT - 1),
+        'the member gone everywhere',
+      );
+    }));
+
+  it('gives a newcomer the whole snapshot when the entries are no longer held', async () => {
+    const old = createFakeState(2);
+    for (let version = 1; version <= 9; version += 1) old.acceptEntry(createEntry(version));
+    const first = await startMesh('first', { state: old });
+    const state = createFakeState();
+    const contacts = [first.getSelf().meshAddress];
+    const second = await startMesh('second', { state, contacts });
+    try {
+      await waitUntil(() => state.version === 9, 'the snapshot arrives');
+    } finally {
+      await closeMeshes([first, second]);
+    }
+  });
+});
--- /dev/null
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import type { LogEntry, Snapshot } from '@cactusdeal/schema';
+import { createSeededRandom, createSilentLog, waitMs } from '@cactusdeal/shared';
+import { createMesh } from '../../CactusdealMesh.js';
+import type { MeshOptions } from '../../CactusdealMeshOptions.js';
+import type { Mesh, MeshState } from '../../CactusdealMeshTypes.js';
+
+const POLL_MS = 5;
+const PATIENCE_MS = 20_000;
+
+/** Waits until the condition holds; fails with `message` when it does not for long. */
+export async function waitUntil(condition: () => boolean, message: string): Promise<void> {
+  const endMs = performance.now() + PATIENCE_MS;
+  while (!condition()) {
+    assert.ok(performance.now() < endMs, `never: ${message}`);
+    await waitMs(POLL_MS);
+  }
+}
+
+/** A configuration whose content is its version only; keeps the last `kept` entries. */
+export function createFakeState(kept = 100): MeshState & { version: number } {
+  const entries: LogEntry[] = [];
+  const state = {
+    version: 0,
+    getVersion: () => state.version,
+    getHeadVersion: () => state.version,
+    getEntriesAfter: (version: number) => {
+      const found = entries.filter((entry) => entry.version > version);
+      return found.length === state.version - version ? found : undefined;
+    },
+    getSnapshotWithHash: () => ({
+      snapshot: { version: state.version, services: {}, routes: {}, drains: {} },
+      hash: 'a'.repeat(64),
+    }),
+    getRejections: () => [],
+    acceptEntry: (entry: LogEntry) => {
+      if (entry.version !== state.version + 1) return false;
+      state.version = entry.version;
+      entries.push(entry);
+      entries.splice(0, entries.length - kept);
+      return true;
+    },
+    acceptSnapshot: (snapshot: Snapshot) => {
+      if (snapshot.version <= state.version) return false;
+      state.version = snapshot.version;
+      entries.length = 0;
+      return true;
+    },
+  };
+  return state;
+}
+
+/** Creates the entry that leads from `version - 1` to `version`. */
+export function createEntry(version: number): LogEntry {
+  return {
+    version,
+    baseVersion: version - 1,
+    planId: `plan-${version}`,
+    operations: [{ type: 'removeDrain', name: 'worker' }],
+    hash: 'a'.repeat(64),
+    operator: 'test',
+    acceptedAtMs: 0,
+  };
+}
+
+/** Starts one mesh with short times and a fixed seed. */
+export function startMesh(id: string, changes: Partial<MeshOptions> = {}): Promise<Mesh> {
+  return createMesh({
+    cluster: 'test',
+    dataCentre: 'east',
+    id,
+    meshAddress: '127.0.0.1:0',
+    callsAddress: '127.0.0.1:1',
+    adminAddress: '127.0.0.1:2',
+    contacts: [],
+    remoteContacts: {},
+    heartbeatMs: 30,
+    digestMs: 60,
+    activeDegree: 4,
+    readersPerDataCentre: 2,
+    state: createFakeState(),
+    log: createSilentLog(),
+    random: createSeededRandom([...id].reduce((sum, char) => sum * 31 + char.charCodeAt(0), 7)),
+    ...changes,
+  });
+}
+
+/** Starts `count` meshes that all know the first one. */
+export async function startMeshes(
+  count: number,
+  change: (index: number) => Partial<MeshOptions> = () => ({}),
+): Promise<Mesh[]> {
+  const first = await startMesh('m0', change(0));
+  const contacts = [first.getSelf().meshAddress];
+  const others = Array.from({ length: count - 1 }, (_, index) =>
+    startMesh(`m${index + 1}`, { contacts, ...change(index + 1) }),
+  );
+  return [first, ...(await Promise.all(others))];
+}
+
+/** Closes all at once. */
+export async function closeMeshes(meshes: readonly Mesh[]): Promise<void> {
+  await Promise.all(meshes.map((mesh) => mesh.close()));
+}
+
+/** Counts the members that one mesh holds as alive, itself included. */
+export function countAlive(mesh: Mesh): number {
+  return mesh.getMembers().filter((record) => record.state === 'alive').length;
+}
--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -9,6 +9,24 @@
   member?: MemberRecord;
   summary?: ServiceSummary;
   announcement?: WorkerAnnouncement;
+  helloMessage?: HelloMessage;
+  refusalMessage?: RefusalMessage;
+  heartbeatMessage?: HeartbeatMessage;
+  gossipMessage?: GossipMessage;
+  iHaveMessage?: IHaveMessage;
+  graftMessage?: GraftMessage;
+  pruneMessage?: PruneMessage;
+  bucketHashesMessage?: BucketHashesMessage;
+  bucketMembersMessage?: BucketMembersMessage;
+  probeMessage?: ProbeMessage;
+  probeAnswerMessage?: ProbeAnswerMessage;
+  digestMessage?: DigestMessage;
+  entriesMessage?: EntriesMessage;
+  snapshotMessage?: SnapshotMessage;
+  recordsMessage?: RecordsMessage;
+  surveyMessage?: SurveyMessage;
+  surveyAnswerMessage?: SurveyAnswerMessage;
+  memberRejection?: MemberRejection;
 }
 /**
  * What a data centre knows of one daemon.
@@ -82,6 +100,221 @@
   slots: number;
   state: 'starting' | 'ready' | 'draining';
 }
+/**
+ * First frame of each side of a connection.
+ */
+export interface HelloMessage {
+  type: 'hello';
+  protocol: number;
+  cluster: string;
+  dataCentre: string;
+  id: string;
+  incarnation: number;
+  meshAddress: string;
+  purpose: 'join' | 'peer' | 'probe' | 'link';
+}
+/**
+ * Last frame of a connection that its sender does not keep.
+ */
+export interface RefusalMessage {
+  type: 'refusal';
+  kind: string;
+  message: string;
+  /**
+   * @maxItems 16
+   */
+  contacts: string[];
+}
+/**
+ * Says that the sender is there.
+ */
+export interface HeartbeatMessage {
+  type: 'heartbeat';
+}
+/**
+ * One value of an epidemic broadcast, pushed along the tree.
+ */
+export interface GossipMessage {
+  type: 'gossip';
+  id: string;
+  hops: number;
+  /**
+   * A member record, a log entry, a notice or summaries.
+   */
+  body: {
+    [k: string]: unknown;
+  };
+}
+/**
+ * Ids of values that the sender can give.
+ */
+export interface IHaveMessage {
+  type: 'ihave';
+  /**
+   * @maxItems 256
+   */
+  ids: string[];
+}
+/**
+ * Asks for values, and for the next ones to be pushed.
+ */
+export interface GraftMessage {
+  type: 'graft';
+  /**
+   * @maxItems 256
+   */
+  ids: string[];
+}
+/**
+ * Asks that values be announced and no longer pushed.
+ */
+export interface PruneMessage {
+  type: 'prune';
+}
+/**
+ * Hash of each part of the sender's member table.
+ */
+export interface BucketHashesMessage {
+  type: 'bucket-hashes';
+  /**
+   * @maxItems 64
+   */
+  hashes: number[];
+}
+/**
+ * Records that the sender holds in the named parts of its table.
+ */
+export interface BucketMembersMessage {
+  type: 'bucket-members';
+  /**
+   * @maxItems 64
+   */
+  buckets: number[];
+  /**
+   * @maxItems 20000
+   */
+  members: MemberVersion[];
+}
+/**
+ * Which record of a member the sender holds.
+ */
+export interface MemberVersion {
+  id: string;
+  incarnation: number;
+  /**
+   * State of the daemon itself.
+   */
+  state: 'alive' | 'suspect' | 'left' | 'dead';
+}
+/**
+ * Asks the receiver to try a member over a connection of its own.
+ */
+export interface ProbeMessage {
+  type: 'probe';
+  id: string;
+  address: string;
+}
+/**
+ * Whether the member answered.
+ */
+export interface ProbeAnswerMessage {
+  type: 'probe-answer';
+  id: string;
+  reached: boolean;
+}
+/**
+ * What the sender holds, so that the receiver can mend a difference.
+ */
+export interface DigestMessage {
+  type: 'digest';
+  version: number;
+  headVersion: number;
+  membersHash: string;
+  /**
+   * Whether the receiver states its own digest in return.
+   */
+  reply: boolean;
+}
+/**
+ * Log entries that the receiver lacks, in order.
+ */
+export interface EntriesMessage {
+  type: 'entries';
+  /**
+   * @maxItems 10000
+   *
+   * Items: A log entry.
+   */
+  entries: {
+    [k: string]: unknown;
+  }[];
+}
+/**
+ * The whole configuration, for a receiver too far behind.
+ */
+export interface SnapshotMessage {
+  type: 'snapshot';
+  /**
+   * The snapshot.
+   */
+  snapshot: {
+    [k: string]: unknown;
+  };
+  hash: string;
+}
+/**
+ * Member records that the receiver lacks, and ids that the sender lacks.
+ */
+export interface RecordsMessage {
+  type: 'records';
+  /**
+   * @maxItems 20000
+   */
+  wanted: string[];
+  /**
+   * @maxItems 20000
+   */
+  records: MemberRecord[];
+}
+/**
+ * Asks the receiver, and through it others, for the versions held.
+ */
+export interface SurveyMessage {
+  type: 'survey';
+  id: string;
+  version: number;
+  /**
+   * Time for the answer, in milliseconds.
+   */
+  deadlineMs: number;
+}
+/**
+ * Versions held by the daemons that were asked through the sender.
+ */
+export interface SurveyAnswerMessage {
+  type: 'survey-answer';
+  id: string;
+  answered: number;
+  lowestVersion: number;
+  highestVersion: number;
+  /**
+   * @maxItems 32
+   */
+  stragglers: string[];
+  /**
+   * @maxItems 32
+   */
+  rejections: MemberRejection[];
+}
+/**
+ * One daemon's refusal of one version.
+ */
+export interface MemberRejection {
+  memberId: string;
+  version: number;
+  kind: string;
+  message: string;
+}
 
 /** The schema itself, for validation at run time. */
 export const messagesSchema = {
@@ -99,6 +332,60 @@
     },
     "announcement": {
       "$ref": "#/definitions/WorkerAnnouncement"
+    },
+    "helloMessage": {
+      "$ref": "#/definitions/HelloMessage"
+    },
+    "refusalMessage": {
+      "$ref": "#/definitions/RefusalMessage"
+    },
+    "heartbeatMessage": {
+      "$ref": "#/definitions/HeartbeatMessage"
+    },
+    "gossipMessage": {
+      "$ref": "#/definitions/GossipMessage"
+    },
+    "iHaveMessage": {
+      "$ref": "#/definitions/IHaveMessage"
+    },
+    "graftMessage": {
+      "$ref": "#/definitions/GraftMessage"
+    },
+    "pruneMessage": {
+      "$ref": "#/definitions/PruneMessage"
+    },
+    "bucketHashesMessage": {
+      "$ref": "#/definitions/BucketHashesMessage"
+    },
+    "bucketMembersMessage": {
+      "$ref": "#/definitions/BucketMembersMessage"
+    },
+    "probeMessage": {
+      "$ref": "#/definitions/ProbeMessage"
+    },
+    "probeAnswerMessage": {
+      "$ref": "#/definitions/ProbeAnswerMessage"
+    },
+    "digestMessage": {
+      "$ref": "#/definitions/DigestMessage"
+    },
+    "entriesMessage": {
+      "$ref": "#/definitions/EntriesMessage"
+    },
+    "snapshotMessage": {
+      "$ref": "#/definitions/SnapshotMessage"
+    },
+    "recordsMessage": {
+      "$ref": "#/definitions/RecordsMessage"
+    },
+    "surveyMessage": {
+      "$ref": "#/definitions/SurveyMessage"
+    },
+    "surveyAnswerMessage": {
+      "$ref": "#/definitions/SurveyAnswerMessage"
+    },
+    "memberRejection": {
+      "$ref": "#/definitions/MemberRejection"
     }
   },
   "definitions": {
@@ -291,6 +578,555 @@
           }
         }
       }
+    },
+    "HelloMessage": {
+      "description": "First frame of each side of a connection.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "protocol",
+        "cluster",
+        "dataCentre",
+        "id",
+        "incarnation",
+        "meshAddress",
+        "purpose"
+      ],
+      "properties": {
+        "type": {
+          "const": "hello"
+        },
+        "protocol": {
+          "type": "integer",
+          "minimum": 1
+        },
+        "cluster": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "dataCentre": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "incarnation": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "meshAddress": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "purpose": {
+          "enum": [
+            "join",
+            "peer",
+            "probe",
+            "link"
+          ]
+        }
+      }
+    },
+    "RefusalMessage": {
+      "description": "Last frame of a connection that its sender does not keep.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "kind",
+        "message",
+        "contacts"
+      ],
+      "properties": {
+        "type": {
+          "const": "refusal"
+        },
+        "kind": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "message": {
+          "type": "string",
+          "maxLength": 200
+        },
+        "contacts": {
+          "type": "array",
+          "maxItems": 16,
+          "items": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 64
+          }
+        }
+      }
+    },
+    "HeartbeatMessage": {
+      "description": "Says that the sender is there.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type"
+      ],
+      "properties": {
+        "type": {
+          "const": "heartbeat"
+        }
+      }
+    },
+    "GossipMessage": {
+      "description": "One value of an epidemic broadcast, pushed along the tree.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "id",
+        "hops",
+        "body"
+      ],
+      "properties": {
+        "type": {
+          "const": "gossip"
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 160
+        },
+        "hops": {
+          "type": "integer",
+          "minimum": 0,
+          "maximum": 10000
+        },
+        "body": {
+          "description": "A member record, a log entry, a notice or summaries.",
+          "type": "object",
+          "additionalProperties": true
+        }
+      }
+    },
+    "IHaveMessage": {
+      "description": "Ids of values that the sender can give.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "ids"
+      ],
+      "properties": {
+        "type": {
+          "const": "ihave"
+        },
+        "ids": {
+          "type": "array",
+          "maxItems": 256,
+          "items": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 160
+          }
+        }
+      }
+    },
+    "GraftMessage": {
+      "description": "Asks for values, and for the next ones to be pushed.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "ids"
+      ],
+      "properties": {
+        "type": {
+          "const": "graft"
+        },
+        "ids": {
+          "type": "array",
+          "maxItems": 256,
+          "items": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 160
+          }
+        }
+      }
+    },
+    "PruneMessage": {
+      "description": "Asks that values be announced and no longer pushed.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type"
+      ],
+      "properties": {
+        "type": {
+          "const": "prune"
+        }
+      }
+    },
+    "BucketHashesMessage": {
+      "description": "Hash of each part of the sender's member table.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "hashes"
+      ],
+      "properties": {
+        "type": {
+          "const": "bucket-hashes"
+        },
+        "hashes": {
+          "type": "array",
+          "maxItems": 64,
+          "items": {
+            "type": "integer",
+            "minimum": 0
+          }
+        }
+      }
+    },
+    "MemberVersion": {
+      "description": "Which record of a member the sender holds.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "id",
+        "incarnation",
+        "state"
+      ],
+      "properties": {
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "incarnation": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "state": {
+          "description": "State of the daemon itself.",
+          "enum": [
+            "alive",
+            "suspect",
+            "left",
+            "dead"
+          ]
+        }
+      }
+    },
+    "BucketMembersMessage": {
+      "description": "Records that the sender holds in the named parts of its table.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "buckets",
+        "members"
+      ],
+      "properties": {
+        "type": {
+          "const": "bucket-members"
+        },
+        "buckets": {
+          "type": "array",
+          "maxItems": 64,
+          "items": {
+            "type": "integer",
+            "minimum": 0,
+            "maximum": 63
+          }
+        },
+        "members": {
+          "type": "array",
+          "maxItems": 20000,
+          "items": {
+            "$ref": "#/definitions/MemberVersion"
+          }
+        }
+      }
+    },
+    "ProbeMessage": {
+      "description": "Asks the receiver to try a member over a connection of its own.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "id",
+        "address"
+      ],
+      "properties": {
+        "type": {
+          "const": "probe"
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "address": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        }
+      }
+    },
+    "ProbeAnswerMessage": {
+      "description": "Whether the member answered.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "id",
+        "reached"
+      ],
+      "properties": {
+        "type": {
+          "const": "probe-answer"
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "reached": {
+          "type": "boolean"
+        }
+      }
+    },
+    "DigestMessage": {
+      "description": "What the sender holds, so that the receiver can mend a difference.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "version",
+        "headVersion",
+        "membersHash",
+        "reply"
+      ],
+      "properties": {
+        "type": {
+          "const": "digest"
+        },
+        "version": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "headVersion": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "membersHash": {
+          "type": "string",
+          "maxLength": 64
+        },
+        "reply": {
+          "description": "Whether the receiver states its own digest in return.",
+          "type": "boolean"
+        }
+      }
+    },
+    "EntriesMessage": {
+      "description": "Log entries that the receiver lacks, in order.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "entries"
+      ],
+      "properties": {
+        "type": {
+          "const": "entries"
+        },
+        "entries": {
+          "type": "array",
+          "maxItems": 10000,
+          "items": {
+            "description": "A log entry.",
+            "type": "object",
+            "additionalProperties": true
+          }
+        }
+      }
+    },
+    "SnapshotMessage": {
+      "description": "The whole configuration, for a receiver too far behind.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "snapshot",
+        "hash"
+      ],
+      "properties": {
+        "type": {
+          "const": "snapshot"
+        },
+        "snapshot": {
+          "description": "The snapshot.",
+          "type": "object",
+          "additionalProperties": true
+        },
+        "hash": {
+          "type": "string",
+          "maxLength": 64
+        }
+      }
+    },
+    "RecordsMessage": {
+      "description": "Member records that the receiver lacks, and ids that the sender lacks.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "wanted",
+        "records"
+      ],
+      "properties": {
+        "type": {
+          "const": "records"
+        },
+        "wanted": {
+          "type": "array",
+          "maxItems": 20000,
+          "items": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 64
+          }
+        },
+        "records": {
+          "type": "array",
+          "maxItems": 20000,
+          "items": {
+            "$ref": "#/definitions/MemberRecord"
+          }
+        }
+      }
+    },
+    "SurveyMessage": {
+      "description": "Asks the receiver, and through it others, for the versions held.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "id",
+        "version",
+        "deadlineMs"
+      ],
+      "properties": {
+        "type": {
+          "const": "survey"
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "version": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "deadlineMs": {
+          "description": "Time for the answer, in milliseconds.",
+          "type": "integer",
+          "minimum": 0,
+          "maximum": 600000
+        }
+      }
+    },
+    "MemberRejection": {
+      "description": "One daemon's refusal of one version.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "memberId",
+        "version",
+        "kind",
+        "message"
+      ],
+      "properties": {
+        "memberId": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "version": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "kind": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "message": {
+          "type": "string",
+          "maxLength": 400
+        }
+      }
+    },
+    "SurveyAnswerMessage": {
+      "description": "Versions held by the daemons that were asked through the sender.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "id",
+        "answered",
+        "lowestVersion",
+        "highestVersion",
+        "stragglers",
+        "rejections"
+      ],
+      "properties": {
+        "type": {
+          "const": "survey-answer"
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "answered": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "lowestVersion": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "highestVersion": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "stragglers": {
+          "type": "array",
+          "maxItems": 32,
+          "items": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 64
+          }
+        },
+        "rejections": {
+          "type": "array",
+          "maxItems": 32,
+          "items": {
+            "$ref": "#/definitions/MemberRejection"
+          }
+        }
+      }
     }
   }
 } as const;
