--- /dev/null
+++ b/packages/testing/src/CactusdealTestingPorts.ts
@@ -0,0 +1,28 @@
+import { once } from 'node:events';
+import net from 'node:net';
+
+// Below the range that the kernel gives to outgoing connections, so that a freed port stays free.
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 22_000;
+const MAX_TRIES = 1000;
+
+/** Finds `count` distinct ports of 127.0.0.1 that nothing listens on now. */
+export async function findFreePorts(count: number): Promise<number[]> {
+  const servers: net.Server[] = [];
+  for (let tries = 0; servers.length < count && tries < MAX_TRIES; tries += 1) {
+    const server = await tryListen(FIRST_PORT + Math.floor(Math.random() * PORT_COUNT));
+    if (server !== undefined) servers.push(server);
+  }
+  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
+  await Promise.all(servers.map((server) => once(server.close(), 'close')));
+  return ports;
+}
+
+async function tryListen(port: number): Promise<net.Server | undefined> {
+  const server = net.createServer();
+  server.listen(port, '127.0.0.1');
+  return once(server, 'listening').then(
+    () => server,
+    () => undefined,
+  );
+}
--- /dev/null
+++ b/packages/testing/src/CactusdealTestingUpstream.ts
@@ -0,0 +1,267 @@
+import { createHash } from 'node:crypto';
+import { once } from 'node:events';
+import { writeSync } from 'node:fs';
+import http from 'node:http';
+import type net from 'node:net';
+import { waitMs } from '@cactusdeal/shared';
+import { startAnnouncer } from './CactusdealTestingAnnouncer.js';
+import {
+  type UpstreamAnswer,
+  type UpstreamBehaviour,
+  UpstreamHeader,
+  type UpstreamRecord,
+  type UpstreamReport,
+} from './CactusdealTestingUpstreamTypes.js';
+
+const STDOUT = 1;
+const CRASH_EXIT_CODE = 70;
+const HOLD_POLL_MS = 5;
+const MAX_RECORDS = 500_000;
+
+/** How an upstream stand-in starts. */
+export interface UpstreamOptions {
+  readonly name: string;
+  readonly listen: string;
+  readonly services: readonly string[];
+  readonly slots: number;
+  /** Admin addresses of the daemon on its host; empty: it does not announce itself. */
+  readonly admin: string | undefined;
+  /** Address that it announces, when a relay stands before it. */
+  readonly announcedAddress: string | undefined;
+  /** Service time of a request, in milliseconds. */
+  readonly serviceMs: number;
+  /** Added to each of the first `slots` requests, in milliseconds. */
+  readonly coldMs: number;
+}
+
+/** A running upstream stand-in. */
+export interface Upstream {
+  readonly address: string;
+  /** Announces that it leaves, then lets requests in flight finish. */
+  close(): Promise<void>;
+}
+
+interface UpstreamState {
+  readonly options: UpstreamOptions;
+  readonly behaviour: UpstreamBehaviour;
+  readonly records: UpstreamRecord[];
+  readonly startedAtMs: number;
+  inFlight: number;
+  runCount: number;
+  highWater: number;
+  connectionHighWater: number;
+}
+
+/** Starts an HTTP server that runs requests, keeps records of them and announces itself. */
+export async function startUpstream(options: UpstreamOptions): Promise<Upstream> {
+  const state = createState(options);
+  const server = http.createServer({ keepAliveTimeout: 0 }, (request, response) => {
+    handleRequest(state, report, request, response).catch(() => response.destroy());
+  });
+  server.on('connection', () => countConnections(state, server));
+  const [host, port] = options.listen.split(':');
+  server.listen(Number(port), host, 4096);
+  await once(server, 'listening');
+  const address = `${host}:${(server.address() as net.AddressInfo).port}`;
+  const announcer = startAnnouncer(
+    { ...options, address: options.announcedAddress ?? address },
+    state.behaviour,
+  );
+  return {
+    address,
+    close: async () => {
+      await announcer.close();
+      server.close();
+      server.closeIdleConnections();
+      await once(server, 'close');
+    },
+  };
+
+  function report(): UpstreamReport {
+    const { records, startedAtMs, highWater, connectionHighWater } = state;
+    const announceFailures = announcer.getFailures();
+    const { name } = options;
+    return { name, startedAtMs, records, highWater, connectionHighWater, announceFailures };
+  }
+}
+
+function createState(options: UpstreamOptions): UpstreamState {
+  const behaviour: UpstreamBehaviour = {
+    slowFactor: 1,
+    claimedHealth: undefined,
+    isRefusing: false,
+    crashPath: undefined,
+    crashBody: undefined,
+    isHolding: false,
+    isCuttingShort: false,
+    isSilent: false,
+    state: 'ready',
+    isMute: false,
+  };
+  return {
+    options,
+    behaviour,
+    records: [],
+    startedAtMs: Date.now(),
+    inFlight: 0,
+    runCount: 0,
+    highWater: 0,
+    connectionHighWater: 0,
+  };
+}
+
+function countConnections(state: UpstreamState, server: http.Server): void {
+  server.getConnections((error, count) => {
+    if (error !== null) return;
+    Object.assign(state, { connectionHighWater: Math.max(state.connectionHighWater, count) });
+  });
+}
+
+async function handleRequest(
+  state: UpstreamState,
+  report: () => UpstreamReport,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const path = request.url ?? '/';
+  if (path === '/control/records') sendJson(response, 200, report());
+  else if (path === '/control') await handleControl(state, request, response);
+  else if (path === '/healthz') handleHealth(state, response);
+  else if (state.behaviour.isRefusing) sendJson(response, 503, { kind: 'Overloaded' });
+  else await runRequest(state, request, response);
+}
+
+async function handleControl(
+  state: UpstreamState,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const change = JSON.parse(Buffer.concat(chunks).toString()) as Partial<UpstreamBehaviour>;
+  Object.assign(state.behaviour, change);
+  sendJson(response, 200, state.behaviour);
+}
+
+function handleHealth(state: UpstreamState, response: http.ServerResponse): void {
+  const isOk = (state.behaviour.claimedHealth ?? 'ok') === 'ok';
+  const load = state.behaviour.claimedHealth === 'ok' ? 0 : state.inFlight / state.options.slots;
+  sendJson(response, isOk ? 200 : 503, { status: isOk ? 'ok' : 'failing', load });
+}
+
+async function runRequest(
+  state: UpstreamState,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const record = startRecord(state, request);
+  const { behaviour } = state;
+  response.on('close', () => finishRecord(state, record, response));
+  if (behaviour.crashPath !== undefined && record.path.startsWith(behaviour.crashPath))
+    stopAbruptly();
+  const bodyHash = await readBody(state, request, record);
+  await waitMs(computeServiceMs(state, request));
+  while (behaviour.isHolding && !response.destroyed) await waitMs(HOLD_POLL_MS);
+  if (behaviour.isSilent) return;
+  sendAnswer(state, request, response, record, bodyHash);
+}
+
+function startRecord(state: UpstreamState, request: http.IncomingMessage): UpstreamRecord {
+  Object.assign(state, { inFlight: state.inFlight + 1, runCount: state.runCount + 1 });
+  Object.assign(state, { highWater: Math.max(state.highWater, state.inFlight) });
+  const record: UpstreamRecord = {
+    requestId: String(request.headers[UpstreamHeader.RequestId] ?? ''),
+    method: request.method ?? '',
+    path: request.url ?? '',
+    idempotencyKey: request.headers[UpstreamHeader.IdempotencyKey]?.toString(),
+    startedAtMs: Date.now(),
+    endedAtMs: undefined,
+    concurrent: state.inFlight,
+    wasCutOff: false,
+    bodyBytes: 0,
+  };
+  if (state.records.length < MAX_RECORDS) state.records.push(record);
+  printRun(state, record);
+  return record;
+}
+
+/** Tells the harness synchronously, so that a run is known even when the process dies in it. */
+function printRun(state: UpstreamState, record: UpstreamRecord): void {
+  const key = record.idempotencyKey ?? '';
+  const line = `run worker=${state.options.name} id=${record.requestId} key=${key} path=${record.path}\n`;
+  writeSync(STDOUT, line);
+}
+
+function finishRecord(
+  state: UpstreamState,
+  record: UpstreamRecord,
+  response: http.ServerResponse,
+): void {
+  Object.assign(state, { inFlight: state.inFlight - 1 });
+  Object.assign(record, { endedAtMs: Date.now(), wasCutOff: !response.writableFinished });
+}
+
+async function readBody(
+  state: UpstreamState,
+  request: http.IncomingMessage,
+  record: UpstreamRecord,
+): Promise<string> {
+  const hash = createHash('sha256');
+  const { crashBody } = state.behaviour;
+  for await (const chunk of request) {
+    const bytes = chunk as Buffer;
+    Object.assign(record, { bodyBytes: record.bodyBytes + bytes.length });
+    hash.update(bytes);
+    if (crashBody !== undefined && bytes.includes(crashBody)) stopAbruptly();
+  }
+  return hash.digest('hex');
+}
+
+/** Dies as a program does that a single request brings down: no clean-up, no answers. */
+function stopAbruptly(): never {
+  process.exit(CRASH_EXIT_CODE);
+}
+
+function computeServiceMs(state: UpstreamState, request: http.IncomingMessage): number {
+  const { options, behaviour, runCount } = state;
+  const asked = request.headers[UpstreamHeader.ServiceMs];
+  const serviceMs = asked === undefined ? options.serviceMs : Number(asked);
+  const coldMs = runCount <= options.slots ? options.coldMs : 0;
+  return (serviceMs + coldMs) * behaviour.slowFactor;
+}
+
+function sendAnswer(
+  state: UpstreamState,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  record: UpstreamRecord,
+  bodyHash: string,
+): void {
+  const { requestId, path, bodyBytes } = record;
+  const filler = '.'.repeat(Number(request.headers[UpstreamHeader.AnswerBytes] ?? 0));
+  const answer: UpstreamAnswer = {
+    requestId,
+    worker: state.options.name,
+    path,
+    bodyBytes,
+    bodyHash,
+    filler,
+  };
+  response.setHeader(UpstreamHeader.RequestId, requestId);
+  if (state.behaviour.isCuttingShort) sendShort(response, JSON.stringify(answer));
+  else sendJson(response, 200, answer);
+}
+
+function sendShort(response: http.ServerResponse, text: string): void {
+  response.writeHead(200, { 'content-length': Buffer.byteLength(text) });
+  response.write(text.slice(0, text.length / 2), () => response.socket?.resetAndDestroy());
+}
+
+function sendJson(response: http.ServerResponse, status: number, value: unknown): void {
+  const text = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
