Add the cluster harness, calls with a ledger and a watch on versions

Cause: the fault matrix, the demo and the benchmarks start the same deployment, and judge it from outside: by upstreams' records, callers' answers and the daemons' reports over time. Ruled out: a relay between data centres without a setting of its own (members learn each other's addresses from records, and would pass the relay by), so the settings get optional `advertise` addresses, which hosts behind address translation need as well. Before and after: builds and lints clean; not yet run against a daemon, whose wiring has not landed. Conclusion: the first process tests follow with the daemon.

--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -23,6 +23,14 @@
   meshAddress: string;
   callsAddress: string;
   adminAddress: string;
+  /**
+   * Mesh address for other data centres; the mesh address when absent.
+   */
+  remoteMeshAddress?: string;
+  /**
+   * Calls address for other data centres; the calls address when absent.
+   */
+  remoteCallsAddress?: string;
   /**
    * State of the daemon itself.
    */
@@ -224,6 +232,14 @@
         "adminAddress": {
           "type": "string"
         },
+        "remoteMeshAddress": {
+          "description": "Mesh address for other data centres; the mesh address when absent.",
+          "type": "string"
+        },
+        "remoteCallsAddress": {
+          "description": "Calls address for other data centres; the calls address when absent.",
+          "type": "string"
+        },
         "state": {
           "description": "State of the daemon itself.",
           "enum": [
--- a/packages/schema/src/CactusdealSchemaSettings.generated.ts
+++ b/packages/schema/src/CactusdealSchemaSettings.generated.ts
@@ -39,6 +39,19 @@
      */
     admin: string;
   };
+  /**
+   * Addresses under which daemons of other data centres reach this one, where they differ from the listen addresses.
+   */
+  advertise?: {
+    /**
+     * For their links.
+     */
+    mesh?: string;
+    /**
+     * For their calls.
+     */
+    calls?: string;
+  };
   /**
    * The platform's key-value service.
    */
@@ -195,6 +208,22 @@
         }
       }
     },
+    "advertise": {
+      "description": "Addresses under which daemons of other data centres reach this one, where they differ from the listen addresses.",
+      "type": "object",
+      "additionalProperties": false,
+      "default": {},
+      "properties": {
+        "mesh": {
+          "description": "For their links.",
+          "$ref": "#/definitions/Address"
+        },
+        "calls": {
+          "description": "For their calls.",
+          "$ref": "#/definitions/Address"
+        }
+      }
+    },
     "platform": {
       "description": "The platform's key-value service.",
       "type": "object",
--- /dev/null
+++ b/packages/testing/src/CactusdealTestingAdmin.ts
@@ -0,0 +1,90 @@
+import type { Intent, Plan, Snapshot } from '@cactusdeal/schema';
+import { FailureError } from '@cactusdeal/shared';
+import { request } from 'undici';
+import type { Host } from './CactusdealTestingClusterTypes.js';
+
+const TIMEOUT_MS = 15_000;
+
+/** An answer of a daemon's admin listener. */
+export interface AdminAnswer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Part of `GET /v1/status` that checks read. */
+export interface DaemonStatus {
+  readonly version: number;
+  readonly headVersion: number;
+  readonly rejections: readonly { readonly version: number }[];
+}
+
+type AdminHost = Pick<Host, 'id' | 'adminAddress'>;
+
+/** Sends a request to a daemon's admin listener. Rejects when no answer comes. */
+export async function sendAdmin(
+  host: AdminHost,
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+  path: string,
+  body?: unknown,
+): Promise<AdminAnswer> {
+  const answer = await request(`http://${host.adminAddress}${path}`, {
+    method,
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+    headers: { 'content-type': 'application/json' },
+    body: body === undefined ? null : JSON.stringify(body),
+  });
+  return { status: answer.statusCode, body: (await answer.body.json()) as AdminAnswer['body'] };
+}
+
+/** Whether every daemon says that it is ready for calls. */
+export async function isClusterReady(hosts: readonly AdminHost[]): Promise<boolean> {
+  const answers = await Promise.all(hosts.map((host) => isReady(host)));
+  return answers.every((ready) => ready);
+}
+
+/** Whether the daemon says that it is ready for calls; false when it does not answer. */
+export async function isReady(host: AdminHost): Promise<boolean> {
+  const answer = await sendAdmin(host, 'GET', '/readyz').catch(() => undefined);
+  return answer?.status === 200;
+}
+
+export async function fetchStatus(host: AdminHost): Promise<DaemonStatus> {
+  const { body } = await sendAdmin(host, 'GET', '/v1/status');
+  return body as unknown as DaemonStatus;
+}
+
+export async function fetchSnapshot(host: AdminHost): Promise<Snapshot> {
+  const { body } = await sendAdmin(host, 'GET', '/v1/snapshot');
+  return body as unknown as Snapshot;
+}
+
+/** Asks a daemon for the plan of an intent; the answer may be a refusal. */
+export function sendIntent(host: AdminHost, intent: Intent, operator: string) {
+  return sendAdmin(host, 'POST', '/v1/plans', { operator, intent });
+}
+
+/** Confirms a plan at a daemon; the answer may be a refusal. */
+export function confirmPlan(host: AdminHost, planId: string, operator: string) {
+  return sendAdmin(host, 'POST', `/v1/plans/${encodeURIComponent(planId)}/confirm`, { operator });
+}
+
+/**
+ * Plans an intent and confirms the plan at one daemon; answers the accepted version.
+ *
+ * @throws FailureError of kind `IntentRefused` when either step is refused.
+ */
+export async function acceptIntent(host: AdminHost, intent: Intent): Promise<number> {
+  const planned = await sendIntent(host, intent, 'tester');
+  assertAnswer(planned, 201);
+  const { id } = planned.body as unknown as Plan;
+  const confirmed = await confirmPlan(host, id, 'tester');
+  assertAnswer(confirmed, 200);
+  return Number(confirmed.body.version);
+}
+
+function assertAnswer(answer: AdminAnswer, status: number): void {
+  if (answer.status === status) return;
+  const message = `status ${answer.status}: ${JSON.stringify(answer.body)}`;
+  throw new FailureError({ kind: 'IntentRefused', message });
+}
--- /dev/null
+++ b/packages/testing/src/CactusdealTestingCluster.ts
@@ -0,0 +1,229 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import type { DaemonSettings } from '@cactusdeal/schema';
+import { invariant } from '@cactusdeal/shared';
+import { isClusterReady } from './CactusdealTestingAdmin.js';
+import type {
+  Cluster,
+  ClusterLink,
+  ClusterSpec,
+  Host,
+  WorkerSpec,
+} from './CactusdealTestingClusterTypes.js';
+import { type FaultProxy, startFaultProxy } from './CactusdealTestingFaultProxy.js';
+import { createHost } from './CactusdealTestingHost.js';
+import { type PlatformProcess, startPlatformProcess } from './CactusdealTestingPlatform.js';
+import { findFreePorts } from './CactusdealTestingPorts.js';
+import { waitUntil } from './CactusdealTestingWait.js';
+
+const CONTACTS = 3;
+const REMOTE_CONTACTS = 2;
+const PORTS_PER_HOST = 4;
+const READY_TIMEOUT_MS = 30_000;
+/** Source of a link that every data centre shares. */
+const ANY_DATA_CENTRE = '*';
+
+interface PlannedHost {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly worker: WorkerSpec | undefined;
+  readonly mesh: string;
+  readonly calls: string;
+  readonly admin: string;
+  readonly upstreamPort: number;
+}
+
+/**
+ * Starts the platform, the daemons and the upstreams of a deployment, with a fault proxy on each
+ * link between data centres, to the platform and to the upstreams; waits until all are ready.
+ */
+export async function startCluster(spec: ClusterSpec): Promise<Cluster> {
+  const platform = await startPlatformProcess();
+  const planned = await planHosts(spec);
+  const links = await startLinks(spec, planned, platform);
+  const directory = await mkdtemp(path.join(os.tmpdir(), 'cactusdeal-'));
+  const hosts = await Promise.all(
+    planned.map(({ worker, upstreamPort, ...host }) =>
+      createHost({
+        settings: buildSettings(spec, { ...host, worker, upstreamPort }, planned, links),
+        worker,
+        upstreamPort,
+        directory,
+      }),
+    ),
+  );
+  const cluster = buildCluster(platform, hosts, links, directory);
+  await startHosts(cluster);
+  return cluster;
+}
+
+async function planHosts(spec: ClusterSpec): Promise<PlannedHost[]> {
+  const count = spec.dataCentres.reduce((sum, { workers }) => sum + workers.length, 0);
+  const ports = await findFreePorts(count * PORTS_PER_HOST);
+  const takePort = (): number => {
+    const port = ports.pop();
+    invariant(port !== undefined, 'too few free ports');
+    return port;
+  };
+  return spec.dataCentres.flatMap(({ name, workers }) =>
+    workers.map((worker, index) => ({
+      id: `${name}-${index + 1}`,
+      dataCentre: name,
+      worker,
+      mesh: `127.0.0.1:${takePort()}`,
+      calls: `127.0.0.1:${takePort()}`,
+      admin: `127.0.0.1:${takePort()}`,
+      upstreamPort: takePort(),
+    })),
+  );
+}
+
+/** A link that is still to be started. */
+interface PlannedLink extends Omit<ClusterLink, 'proxy'> {
+  readonly target: string;
+}
+
+async function startLinks(
+  spec: ClusterSpec,
+  planned: readonly PlannedHost[],
+  platform: PlatformProcess,
+): Promise<ClusterLink[]> {
+  const names = spec.dataCentres.map(({ name }) => name);
+  const links: PlannedLink[] = [
+    ...names.map((from) => ({
+      ...{ from, to: 'platform', kind: 'platform' as const },
+      target: platform.address,
+    })),
+    ...names.flatMap((from) => planContacts(from, planned)),
+    ...planned.flatMap(planAdvertised),
+  ];
+  return Promise.all(
+    links.map(async (link) => {
+      const proxy = await startFaultProxy({ target: link.target });
+      if (link.kind !== 'platform') proxy.setDelay(spec.delayMs ?? 0);
+      return { ...link, proxy };
+    }),
+  );
+}
+
+/** Links from one data centre to the first hosts of each other one. */
+function planContacts(from: string, planned: readonly PlannedHost[]): PlannedLink[] {
+  const others = planned.filter((host) => host.dataCentre !== from);
+  const contacts = others.filter((host) => isAmongFirst(host, planned, REMOTE_CONTACTS));
+  return contacts.map((host) => ({
+    ...{ from, to: host.dataCentre, kind: 'mesh' as const },
+    target: host.mesh,
+  }));
+}
+
+/** Addresses that a host advertises to every other data centre. */
+function planAdvertised(host: PlannedHost): PlannedLink[] {
+  const shared = { from: ANY_DATA_CENTRE, to: host.dataCentre };
+  return [
+    { ...shared, kind: 'mesh', target: host.mesh },
+    { ...shared, kind: 'calls', target: host.calls },
+  ];
+}
+
+function isAmongFirst(host: PlannedHost, planned: readonly PlannedHost[], count: number): boolean {
+  const siblings = planned.filter(({ dataCentre }) => dataCentre === host.dataCentre);
+  return siblings.indexOf(host) < count;
+}
+
+function buildSettings(
+  spec: ClusterSpec,
+  host: PlannedHost,
+  planned: readonly PlannedHost[],
+  links: readonly ClusterLink[],
+): DaemonSettings {
+  const { id, dataCentre, mesh, calls, admin } = host;
+  const siblings = planned.filter((other) => other.dataCentre === dataCentre && other !== host);
+  const findLink = (from: string, kind: ClusterLink['kind'], target: string): string => {
+    const found = links.find(
+      (item) => item.from === from && item.kind === kind && item.target === target,
+    );
+    invariant(found !== undefined, `no link from ${from} to ${target}`);
+    return found.proxy.address;
+  };
+  const platform = links.find(({ from, kind }) => from === dataCentre && kind === 'platform');
+  return {
+    ...spec.settings,
+    ...{ cluster: spec.name, dataCentre, id },
+    listen: { mesh, calls, admin },
+    advertise: {
+      mesh: findLink(ANY_DATA_CENTRE, 'mesh', mesh),
+      calls: findLink(ANY_DATA_CENTRE, 'calls', calls),
+    },
+    platform: { ...spec.settings?.platform, url: `http://${platform?.proxy.address}` },
+    mesh: {
+      ...spec.settings?.mesh,
+      contacts: siblings.slice(0, CONTACTS).map((other) => other.mesh),
+      remoteContacts: listRemoteContacts(dataCentre, links),
+    },
+  };
+}
+
+function listRemoteContacts(from: string, links: readonly ClusterLink[]): Record<string, string[]> {
+  const outgoing = links.filter((link) => link.from === from && link.kind === 'mesh');
+  const contacts: Record<string, string[]> = {};
+  outgoing.forEach(({ to, proxy }) => {
+    contacts[to] = [...(contacts[to] ?? []), proxy.address];
+  });
+  return contacts;
+}
+
+function buildCluster(
+  platform: PlatformProcess,
+  hosts: readonly Host[],
+  links: readonly ClusterLink[],
+  directory: string,
+): Cluster {
+  return {
+    platform,
+    hosts,
+    links,
+    findHost: (id) => {
+      const host = hosts.find((item) => item.id === id);
+      invariant(host !== undefined, `no host ${id}`);
+      return host;
+    },
+    listHosts: (dataCentre) => hosts.filter((host) => host.dataCentre === dataCentre),
+    listLinks: (one, other) => links.filter((link) => isBetween(link, one, other)).map(toProxy),
+    heal: async () => {
+      links.forEach(({ proxy }) => proxy.heal());
+      hosts.forEach(({ upstreamLink }) => upstreamLink.heal());
+      await platform.heal();
+    },
+    close: async () => {
+      await Promise.all(hosts.map((host) => host.close()));
+      await platform.process.kill();
+      await Promise.all(links.map(({ proxy }) => proxy.close()));
+      await rm(directory, { recursive: true });
+    },
+  };
+}
+
+function toProxy({ proxy }: ClusterLink): FaultProxy {
+  return proxy;
+}
+
+function isBetween({ from, to }: ClusterLink, one: string, other: string): boolean {
+  if (from === ANY_DATA_CENTRE) return to === one || to === other;
+  return (from === one && to === other) || (from === other && to === one);
+}
+
+async function startHosts(cluster: Cluster): Promise<void> {
+  try {
+    await Promise.all(cluster.hosts.map((host) => host.startDaemon()));
+    const withUpstream = cluster.hosts.filter(({ worker }) => worker !== undefined);
+    await Promise.all(withUpstream.map((host) => host.startUpstream()));
+    await waitUntil(() => isClusterReady(cluster.hosts), {
+      what: 'all daemons ready',
+      timeoutMs: READY_TIMEOUT_MS,
+    });
+  } catch (caught) {
+    await cluster.close();
+    throw caught;
+  }
+}
--- /dev/null
+++ b/packages/testing/src/CactusdealTestingLedger.ts
@@ -0,0 +1,76 @@
+import {
+  type CallResult,
+  type CallSpec,
+  explainWrongAnswer,
+  sendCall,
+} from './CactusdealTestingCall.js';
+import type { Host, RunRecord } from './CactusdealTestingClusterTypes.js';
+
+const NOT_RUN = 'not-run';
+const MAX_BREACHES = 20;
+
+/** Keeps every call that was made through it, for a comparison with what upstreams ran. */
+export interface Ledger {
+  /** Sends a call to the host's daemon and keeps the result. */
+  send(host: Pick<Host, 'callsAddress'>, spec: CallSpec): Promise<CallResult>;
+  record(result: CallResult): void;
+  getResults(): readonly CallResult[];
+  /**
+   * Lists what should never be: an answer that is not whole or not the call's own, a call refused as
+   * not run that ran, and an idempotency key of `atMostOnceKeys` that ran twice.
+   */
+  collectBreaches(hosts: readonly Host[]): Promise<readonly string[]>;
+}
+
+/** Creates an empty ledger; keys that start with one of the prefixes may run at most once. */
+export function createLedger(atMostOnceKeys: readonly string[]): Ledger {
+  const results: CallResult[] = [];
+  return {
+    send: async (host, spec) => {
+      const result = await sendCall(host.callsAddress, spec);
+      results.push(result);
+      return result;
+    },
+    record: (result) => {
+      results.push(result);
+    },
+    getResults: () => results,
+    collectBreaches: async (hosts) => {
+      const withUpstream = hosts.filter(({ worker }) => worker !== undefined);
+      const runs = (await Promise.all(withUpstream.map((host) => host.collectRuns()))).flat();
+      return [
+        ...results.flatMap(listWrongAnswers),
+        ...listFalseRefusals(results, runs),
+        ...listRepeatedKeys(runs, atMostOnceKeys),
+      ].slice(0, MAX_BREACHES);
+    },
+  };
+}
+
+function listWrongAnswers(result: CallResult): string[] {
+  const wrong = explainWrongAnswer(result);
+  return wrong === undefined ? [] : [`answer to ${result.spec.requestId}: ${wrong}`];
+}
+
+function listFalseRefusals(results: readonly CallResult[], runs: readonly RunRecord[]): string[] {
+  const ran = new Map(runs.map((run) => [run.requestId, run.worker]));
+  return results
+    .filter(({ outcome, spec }) => outcome === NOT_RUN && ran.has(spec.requestId))
+    .map(({ refusal, spec }) => {
+      const worker = ran.get(spec.requestId);
+      return `${spec.requestId} was refused as not run (${refusal}) but ran at ${worker}`;
+    });
+}
+
+function listRepeatedKeys(runs: readonly RunRecord[], prefixes: readonly string[]): string[] {
+  const workersOfKey = new Map<string, string[]>();
+  const guarded = runs.filter(({ idempotencyKey }) =>
+    prefixes.some((prefix) => idempotencyKey.startsWith(prefix)),
+  );
+  guarded.forEach(({ idempotencyKey, worker }) => {
+    workersOfKey.set(idempotencyKey, [...(workersOfKey.get(idempotencyKey) ?? []), worker]);
+  });
+  return [...workersOfKey]
+    .filter(([, workers]) => workers.length > 1)
+    .map(([key, workers]) => `key ${key} ran ${workers.length} times: ${workers.join(', ')}`);
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,9 +1,40 @@
+export {
+  acceptIntent,
+  type AdminAnswer,
+  isClusterReady,
+  confirmPlan,
+  type DaemonStatus,
+  fetchSnapshot,
+  fetchStatus,
+  isReady,
+  sendAdmin,
+  sendIntent,
+} from './CactusdealTestingAdmin.js';
+export {
+  type CallResult,
+  type CallSpec,
+  explainWrongAnswer,
+  sendCall,
+} from './CactusdealTestingCall.js';
+export { startCluster } from './CactusdealTestingCluster.js';
+export type {
+  Cluster,
+  ClusterLink,
+  ClusterSpec,
+  DataCentreSpec,
+  Host,
+  RunRecord,
+  SettingsOverrides,
+  WorkerSpec,
+} from './CactusdealTestingClusterTypes.js';
 export {
   type ByteCounts,
   FaultDirection,
   type FaultProxy,
   startFaultProxy,
 } from './CactusdealTestingFaultProxy.js';
+export { createLedger, type Ledger } from './CactusdealTestingLedger.js';
+export { type PlatformProcess, startPlatformProcess } from './CactusdealTestingPlatform.js';
 export { findFreePorts } from './CactusdealTestingPorts.js';
 export {
   type ManagedProcess,
@@ -12,6 +43,7 @@
   type ProcessOptions,
   startProcess,
 } from './CactusdealTestingProcess.js';
+export { resolveScript } from './CactusdealTestingScripts.js';
 export { startUpstream, type Upstream, type UpstreamOptions } from './CactusdealTestingUpstream.js';
 export {
   type UpstreamAnswer,
@@ -20,4 +52,5 @@
   type UpstreamRecord,
   type UpstreamReport,
 } from './CactusdealTestingUpstreamTypes.js';
+export { startVersionWatch, type VersionWatch } from './CactusdealTestingVersionWatch.js';
 export { waitUntil, type WaitOptions } from './CactusdealTestingWait.js';
