--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -4,14 +4,6 @@
   type GateQueueOptions,
   type Schedule,
 } from './CactusdealTrafficGateQueue.js';
-export type {
-  AdmissionRequest,
-  Claims,
-  ClaimTicket,
-  GateQueue,
-  Quarantine,
-  Slot,
-} from './CactusdealTrafficPolicyTypes.js';
 export {
   computeFingerprint,
   createQuarantine,
