Add plans, confirmation, the log reader, starts, slots and history

Cause: an operator's intent needs a plan, one winner and a way to every data centre. Ruled out: trusting a free log key alone, since a plan that lost long ago could write a key whose entry had been trimmed; the manifest is read after the write and after each read of an entry. Before and after: no path; in memory an intent is planned, confirmed twice with one effect, read by a log reader, crosses an unreadable version and is reverted as a new version. Conclusion: thin; nothing writes checkpoints yet, so starts read the whole log.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,7 +7,7 @@
   'explain|fetch|find|finish|flush|format|forward|get|grant|handle|has|hash|hold|invariant|is|join|leave|list|load',
   'log|main|match|measure|merge|observe|open|parse|pick|plan|print|probe|publish|push|quarantine|read|receive',
   'record|refuse|register|reject|release|remove|render|renew|replace|report|resolve|retry|route|run|schedule',
-  'select|send|serve|set|settle|share|shed|should|split|start|stop|subscribe|suspect|swap|sync|take|to|track|trim',
+  'select|send|serve|set|settle|share|shed|should|split|start|stop|store|subscribe|suspect|swap|sync|take|to|track|trim',
   'try|update|use|validate|wait|warn|watch|wire|with|write',
 ].join('|');
 
--- /dev/null
+++ b/packages/operator/src/CactusdealOperatorManifest.ts
@@ -0,0 +1,51 @@
+import { createEmptySnapshot, hashSnapshot } from '@cactusdeal/configuration';
+import type { Platform, PlatformFailure } from '@cactusdeal/platform';
+import type { Manifest } from '@cactusdeal/schema';
+import { type Either, Left, Right } from 'purify-ts';
+import { createParser } from './CactusdealOperatorCodec.js';
+import { MANIFEST_KEY } from './CactusdealOperatorKeys.js';
+import { type LoadFailure, LoadFailureKind } from './CactusdealOperatorTypes.js';
+
+/** The checkpoint's manifest with the revision that a compare-and-swap of it names. */
+export interface ManifestRecord {
+  readonly manifest: Manifest;
+  /** 0 when the platform holds none yet. */
+  readonly revision: number;
+}
+
+const parseManifest = createParser<Manifest>('configuration#/definitions/Manifest');
+
+/** Reads the manifest; one that is absent stands for the empty snapshot of version 0. */
+export async function readManifest(
+  platform: Platform,
+): Promise<Either<LoadFailure, ManifestRecord>> {
+  const found = await platform.get(MANIFEST_KEY);
+  return found.mapLeft(toUnavailable).chain((record) => {
+    if (record === undefined) return Right({ manifest: createEmptyManifest(), revision: 0 });
+    const { revision } = record;
+    return parseManifest(record.value)
+      .map((manifest) => ({ manifest, revision }))
+      .mapLeft((message) => ({ kind: LoadFailureKind.Corrupt, message: `manifest: ${message}` }));
+  });
+}
+
+/** Turns a platform failure into a load failure. */
+export function toUnavailable({ message }: PlatformFailure): LoadFailure {
+  return { kind: LoadFailureKind.Unavailable, message };
+}
+
+/** Answers a load that found things that do not fit together. */
+export function refuseCorrupt(message: string): Either<LoadFailure, never> {
+  return Left({ kind: LoadFailureKind.Corrupt, message });
+}
+
+function createEmptyManifest(): Manifest {
+  const hash = hashSnapshot(createEmptySnapshot());
+  return {
+    headVersion: 0,
+    generations: [{ version: 0, hash, shards: [] }],
+    entries: [],
+    trimmedThrough: 0,
+    removedThrough: 0,
+  };
+}
--- /dev/null
+++ b/packages/operator/src/CactusdealOperatorShards.ts
@@ -0,0 +1,123 @@
+import { createHash } from 'node:crypto';
+import { gunzipSync, gzipSync } from 'node:zlib';
+import { formatCanonical, hashSnapshot } from '@cactusdeal/configuration';
+import type { Platform } from '@cactusdeal/platform';
+import type { Generation, Shard, ShardReference, Snapshot } from '@cactusdeal/schema';
+import { Either, Left, Right } from 'purify-ts';
+import { createParser } from './CactusdealOperatorCodec.js';
+import { refuseCorrupt, toUnavailable } from './CactusdealOperatorManifest.js';
+import type { LoadFailure } from './CactusdealOperatorTypes.js';
+
+/** One shard of a snapshot, ready to be stored. */
+export interface EncodedShard {
+  /** SHA-256 of the canonical JSON, in hexadecimal. */
+  readonly hash: string;
+  readonly text: string;
+}
+
+/** Mean size of a shard's JSON; compressed, the largest stays far below the platform's limit. */
+const SHARD_TEXT_BYTES = 512 * 1024;
+/** Bound on what a shard may unpack to, so that a wrong value cannot exhaust memory. */
+const MAX_TEXT_BYTES = 16 * 1024 * 1024;
+
+const parseShard = createParser<Shard>('configuration#/definitions/Shard');
+
+/**
+ * Splits a snapshot into shards by the hash of each entry's name, so that a change of one entry
+ * changes one shard. Shards are addressed by their content.
+ */
+export function buildShards(snapshot: Snapshot, shardCount?: number): EncodedShard[] {
+  const count = shardCount ?? countShards(snapshot);
+  const shards = Array.from({ length: count }, createEmptyShard);
+  const addTable = (table: keyof Shard) => {
+    Object.entries(snapshot[table]).forEach(([name, value]) => {
+      Object.assign(shards[pickShard(name, count)]?.[table] ?? {}, { [name]: value });
+    });
+  };
+  addTable('services');
+  addTable('routes');
+  addTable('drains');
+  return shards.map(encodeShard);
+}
+
+/** Packs a shard into the value that the platform holds. */
+export function encodeShardValue(shard: EncodedShard): Uint8Array {
+  return gzipSync(shard.text);
+}
+
+/**
+ * Loads the snapshot of a generation. Shards whose content `known` has already are not fetched.
+ */
+export async function loadGeneration(
+  platform: Platform,
+  generation: Generation,
+  known?: Snapshot,
+): Promise<Either<LoadFailure, Snapshot>> {
+  const count = generation.shards.length;
+  const own = known === undefined || count === 0 ? [] : buildShards(known, count);
+  const texts = new Map(own.map(({ hash, text }) => [hash, text]));
+  const parts = await Promise.all(
+    generation.shards.map((reference) => loadShard(platform, reference, texts)),
+  );
+  return Either.sequence(parts).chain((shards) => joinShards(generation, shards));
+}
+
+async function loadShard(
+  platform: Platform,
+  reference: ShardReference,
+  texts: ReadonlyMap<string, string>,
+): Promise<Either<LoadFailure, Shard>> {
+  const known = texts.get(reference.hash);
+  if (known !== undefined) return Right(JSON.parse(known) as Shard);
+  const found = await platform.get(reference.key);
+  return found.mapLeft(toUnavailable).chain((record) => {
+    if (record === undefined) return refuseCorrupt(`shard ${reference.key} is missing`);
+    return openShard(reference, record.value);
+  });
+}
+
+function openShard(reference: ShardReference, value: Uint8Array): Either<LoadFailure, Shard> {
+  const text = Either.encase(() => gunzipSync(value, { maxOutputLength: MAX_TEXT_BYTES }));
+  return text
+    .mapLeft((caught) => caught.message)
+    .chain((bytes) => (hashText(bytes) === reference.hash ? Right(bytes) : Left('another hash')))
+    .chain((bytes) => parseShard(bytes))
+    .chainLeft((reason) => refuseCorrupt(`shard ${reference.key}: ${reason}`));
+}
+
+function joinShards(
+  generation: Generation,
+  shards: readonly Shard[],
+): Either<LoadFailure, Snapshot> {
+  const snapshot: Snapshot = { version: generation.version, ...createEmptyShard() };
+  shards.forEach((shard) => {
+    Object.assign(snapshot.services, shard.services);
+    Object.assign(snapshot.routes, shard.routes);
+    Object.assign(snapshot.drains, shard.drains);
+  });
+  if (hashSnapshot(snapshot) === generation.hash) return Right(snapshot);
+  return refuseCorrupt(`the shards of version ${generation.version} give another hash`);
+}
+
+function countShards(snapshot: Snapshot): number {
+  const { services, routes, drains } = snapshot;
+  const { length } = JSON.stringify({ services, routes, drains });
+  return Math.max(1, Math.ceil(length / SHARD_TEXT_BYTES));
+}
+
+function pickShard(name: string, count: number): number {
+  return createHash('sha256').update(name).digest().readUInt32BE(0) % count;
+}
+
+function encodeShard(shard: Shard): EncodedShard {
+  const text = formatCanonical(shard);
+  return { hash: hashText(text), text };
+}
+
+function hashText(text: string | Uint8Array): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+function createEmptyShard(): Shard {
+  return { services: {}, routes: {}, drains: {} };
+}
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,1 +1,45 @@
-export {};
+export { type Backoff, createBackoff } from './CactusdealOperatorBackoff.js';
+export {
+  confirmPlan,
+  type ConfirmOptions,
+  loadPlan,
+  storePlan,
+} from './CactusdealOperatorConfirm.js';
+export { type HistoryRange, readHistory } from './CactusdealOperatorHistory.js';
+export {
+  getLogKey,
+  getPlanKey,
+  getReaderKey,
+  getRosterKey,
+  MANIFEST_KEY,
+} from './CactusdealOperatorKeys.js';
+export {
+  type LogReaderOptions,
+  type LogReaderTarget,
+  runLogReader,
+} from './CactusdealOperatorLogReader.js';
+export { planIntent } from './CactusdealOperatorPlan.js';
+export {
+  createReaderLease,
+  createRoster,
+  type MemberSlotOptions,
+  READER_SLOTS,
+  readReaders,
+  readRoster,
+  ROSTER_SLOTS,
+  type RosterRange,
+} from './CactusdealOperatorReaders.js';
+export type { SlotLease } from './CactusdealOperatorSlot.js';
+export { loadStart, loadVersion, type Start } from './CactusdealOperatorStart.js';
+export { planAndStore, type StoredPlanFailure } from './CactusdealOperatorStoredPlan.js';
+export {
+  type Acceptance,
+  type ConfirmFailure,
+  ConfirmFailureKind,
+  type KnownWorker,
+  type LoadFailure,
+  LoadFailureKind,
+  type PlanContext,
+  type PlanFailure,
+  PlanFailureKind,
+} from './CactusdealOperatorTypes.js';
--- a/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
+++ b/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
@@ -31,6 +31,9 @@
   logEntry?: LogEntry;
   plan?: Plan;
   intent?: Intent;
+  manifest?: Manifest;
+  shard?: Shard;
+  slotHolder?: SlotHolder;
 }
 /**
  * The whole configuration at one version.
@@ -200,6 +203,74 @@
   change: string;
   affects: string[];
 }
+/**
+ * The checkpoint: whole snapshots, newest first, and the log behind the newest.
+ */
+export interface Manifest {
+  /**
+   * Version of the newest log entry that the checkpoint covers.
+   */
+  headVersion: number;
+  /**
+   * @minItems 1
+   */
+  generations: Generation[];
+  /**
+   * Log entries above the newest generation up to the head.
+   */
+  entries: LogEntry[];
+  /**
+   * Log entries up to this version no longer count; stated before any of them is removed.
+   */
+  trimmedThrough: number;
+  /**
+   * Log entries up to this version have been removed.
+   */
+  removedThrough: number;
+}
+/**
+ * A whole snapshot in shards.
+ */
+export interface Generation {
+  version: number;
+  hash: string;
+  shards: ShardReference[];
+}
+/**
+ * Where a part of a snapshot's entries is kept in the platform.
+ */
+export interface ShardReference {
+  key: string;
+  /**
+   * SHA-256 of the shard's canonical JSON, in hexadecimal.
+   */
+  hash: string;
+  /**
+   * Size of the stored value, compressed.
+   */
+  bytes: number;
+}
+/**
+ * A part of a snapshot's entries.
+ */
+export interface Shard {
+  services: {
+    [k: string]: Service;
+  };
+  routes: {
+    [k: string]: Route;
+  };
+  drains: {
+    [k: string]: Drain;
+  };
+}
+/**
+ * The daemon that holds a reader or roster slot by its lease.
+ */
+export interface SlotHolder {
+  memberId: string;
+  meshAddress: string;
+}
 
 /** The schema itself, for validation at run time. */
 export const configurationSchema = {
@@ -220,6 +291,15 @@
     },
     "intent": {
       "$ref": "#/definitions/Intent"
+    },
+    "manifest": {
+      "$ref": "#/definitions/Manifest"
+    },
+    "shard": {
+      "$ref": "#/definitions/Shard"
+    },
+    "slotHolder": {
+      "$ref": "#/definitions/SlotHolder"
     }
   },
   "definitions": {
@@ -749,6 +829,153 @@
           }
         }
       }
+    },
+    "ShardReference": {
+      "description": "Where a part of a snapshot's entries is kept in the platform.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "key",
+        "hash",
+        "bytes"
+      ],
+      "properties": {
+        "key": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 256
+        },
+        "hash": {
+          "description": "SHA-256 of the shard's canonical JSON, in hexadecimal.",
+          "type": "string",
+          "pattern": "^[0-9a-f]{64}$"
+        },
+        "bytes": {
+          "description": "Size of the stored value, compressed.",
+          "type": "integer",
+          "minimum": 0
+        }
+      }
+    },
+    "Generation": {
+      "description": "A whole snapshot in shards.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "version",
+        "hash",
+        "shards"
+      ],
+      "properties": {
+        "version": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "hash": {
+          "type": "string",
+          "pattern": "^[0-9a-f]{64}$"
+        },
+        "shards": {
+          "type": "array",
+          "items": {
+            "$ref": "#/definitions/ShardReference"
+          }
+        }
+      }
+    },
+    "Manifest": {
+      "description": "The checkpoint: whole snapshots, newest first, and the log behind the newest.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "headVersion",
+        "generations",
+        "entries",
+        "trimmedThrough",
+        "removedThrough"
+      ],
+      "properties": {
+        "headVersion": {
+          "description": "Version of the newest log entry that the checkpoint covers.",
+          "type": "integer",
+          "minimum": 0
+        },
+        "generations": {
+          "type": "array",
+          "items": {
+            "$ref": "#/definitions/Generation"
+          },
+          "minItems": 1
+        },
+        "entries": {
+          "description": "Log entries above the newest generation up to the head.",
+          "type": "array",
+          "items": {
+            "$ref": "#/definitions/LogEntry"
+          }
+        },
+        "trimmedThrough": {
+          "description": "Log entries up to this version no longer count; stated before any of them is removed.",
+          "type": "integer",
+          "minimum": 0
+        },
+        "removedThrough": {
+          "description": "Log entries up to this version have been removed.",
+          "type": "integer",
+          "minimum": 0
+        }
+      }
+    },
+    "Shard": {
+      "description": "A part of a snapshot's entries.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "services",
+        "routes",
+        "drains"
+      ],
+      "properties": {
+        "services": {
+          "type": "object",
+          "additionalProperties": {
+            "$ref": "#/definitions/Service"
+          }
+        },
+        "routes": {
+          "type": "object",
+          "additionalProperties": {
+            "$ref": "#/definitions/Route"
+          }
+        },
+        "drains": {
+          "type": "object",
+          "additionalProperties": {
+            "$ref": "#/definitions/Drain"
+          }
+        }
+      }
+    },
+    "SlotHolder": {
+      "description": "The daemon that holds a reader or roster slot by its lease.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "memberId",
+        "meshAddress"
+      ],
+      "properties": {
+        "memberId": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "meshAddress": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        }
+      }
     }
   }
 } as const;
