Say not-run only where no byte can have reached the upstream

Cause: whether a call ran was decided in one place, untested, and the times of the upstream and of the queue did not travel back, so that added time could not be told from theirs. Ruled out: taking refusal headers from any answer, since an upstream could then pass work that ran off as not run; counting an answer as over when its last byte was written and not when it was flushed.

--- a/packages/traffic/src/CactusdealTrafficAttempt.ts
+++ b/packages/traffic/src/CactusdealTrafficAttempt.ts
@@ -5,10 +5,19 @@
 import { createRefusal, parseOutcome, parseRefusalKind } from './CactusdealTrafficRefusal.js';
 import type { Refusal } from './CactusdealTrafficTypes.js';
 
+/** The beginning of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Alternating names and values, as they arrived. */
+  readonly rawHeaders: readonly (string | Buffer)[];
+  /** Time that the call spent in the gate's queue and in the upstream, in milliseconds. */
+  readonly upstreamMs: number;
+}
+
 /** Receives one answer; a receiver of the caller's connection or of a program that embeds us. */
 export interface AnswerSink {
   /** The head, exactly once and first. `resume` asks for more after `write` said false. */
-  start(status: number, rawHeaders: readonly (string | Buffer)[], resume: () => void): void;
+  start(head: AnswerHead, resume: () => void): void;
   /** One part of the body; false when the receiver wants no more for now. */
   write(chunk: Buffer): boolean;
   /** The whole answer arrived. */
@@ -31,15 +40,17 @@
   readonly signal: AbortSignal;
   /** Longest silence within the answer's body, in milliseconds. */
   readonly idleTimeoutMs: number;
-  /** Whether the other end is a daemon, whose refusals are read and not passed on. */
+  /** Whether the other end is a daemon, whose refusals and times are read. */
   readonly toDaemon: boolean;
+  /** Wait in the queue before this attempt, in milliseconds. */
+  readonly queuedMs: number;
   readonly sink: AnswerSink;
   readonly clock: () => number;
 }
 
 /** How an attempt ended. */
 export type AttemptResult =
-  | { readonly type: 'answered'; readonly status: number; readonly headMs: number }
+  | { readonly type: 'answered'; readonly upstreamMs: number; readonly headAtMs: number }
   | { readonly type: 'refused'; readonly refusal: Refusal }
   | {
       readonly type: 'failed';
@@ -99,7 +110,9 @@
 
   private status = 0;
 
-  private headMs = 0;
+  private upstreamMs = 0;
+
+  private headAtMs = 0;
 
   private refusalHead: readonly (string | Buffer)[] | undefined;
 
@@ -127,13 +140,15 @@
     if (this.done || status < 200) return;
     const raw = (controller.rawHeaders ?? []) as Buffer[];
     this.status = status;
-    this.headMs = this.attempt.clock() - this.startedAtMs;
+    this.headAtMs = this.attempt.clock();
     if (this.attempt.toDaemon && findHeader(raw, CallHeader.Refusal) !== undefined) {
       this.refusalHead = raw;
       return;
     }
     this.started = true;
-    this.attempt.sink.start(status, raw, () => controller.resume());
+    this.upstreamMs = this.computeUpstreamMs(raw);
+    const head = { status, rawHeaders: raw, upstreamMs: this.upstreamMs };
+    this.attempt.sink.start(head, () => controller.resume());
   }
 
   public onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -155,7 +170,8 @@
       return;
     }
     this.attempt.sink.end();
-    this.resolve({ type: 'answered', status: this.status, headMs: this.headMs });
+    const { upstreamMs, headAtMs } = this;
+    this.resolve({ type: 'answered', upstreamMs, headAtMs });
   }
 
   public onResponseError(_controller: unknown, cause: Error): void {
@@ -175,6 +191,12 @@
     });
   }
 
+  private computeUpstreamMs(raw: readonly Buffer[]): number {
+    const { toDaemon, queuedMs } = this.attempt;
+    if (!toDaemon) return this.headAtMs - this.startedAtMs + queuedMs;
+    return Number(findHeader(raw, CallHeader.UpstreamMs)) || 0;
+  }
+
   private readonly handleAbort = (): void => {
     const { controller } = this;
     const cause = createCancelled();
--- a/packages/traffic/src/CactusdealTrafficBody.ts
+++ b/packages/traffic/src/CactusdealTrafficBody.ts
@@ -15,8 +15,8 @@
   take(): AttemptBody;
   /** Whether another attempt could send the whole body. */
   canTake(): boolean;
-  /** The first bytes, which take part in telling requests apart. */
-  peek(): Promise<Buffer>;
+  /** Bytes that tell bodies apart: a small one whole, of a large one its beginning and length. */
+  sample(): Promise<Buffer>;
 }
 
 /** Tells whether a stream broke because its body outgrew the route's limit. */
@@ -30,7 +30,7 @@
   readonly chunked: boolean;
 }
 
-const PEEK_BYTES = 256;
+const SAMPLE_BYTES = 256;
 const EMPTY = Buffer.alloc(0);
 
 /** Reads a small body whole, or prepares a large one for streaming. */
@@ -48,7 +48,7 @@
     const bytes = await readWhole(source, contentLength as number);
     return bytes === undefined ? Left(refuseBroken()) : Right(createBufferedBody(bytes));
   }
-  return Right(createStreamedBody(source, maxBytes));
+  return Right(createStreamedBody(source, maxBytes, contentLength));
 }
 
 const refuseBroken = (): Refusal =>
@@ -59,12 +59,12 @@
   return {
     take: () => bytes,
     canTake: () => true,
-    peek: () => Promise.resolve(bytes?.subarray(0, PEEK_BYTES) ?? EMPTY),
+    sample: () => Promise.resolve(bytes ?? EMPTY),
   };
 }
 
 /** Creates a body that passes through once, with back pressure, up to a limit. */
-export function createStreamedBody(source: Readable, maxBytes: number): CallBody {
+export function createStreamedBody(source: Readable, maxBytes: number, length?: number): CallBody {
   let taken = false;
   return {
     take: () => {
@@ -77,7 +77,10 @@
       return limited;
     },
     canTake: () => !taken,
-    peek: () => readFirstChunk(source),
+    sample: async () => {
+      const first = await readFirstChunk(source);
+      return Buffer.concat([first.subarray(0, SAMPLE_BYTES), Buffer.from(String(length))]);
+    },
   };
 }
 
@@ -101,7 +104,7 @@
     const chunk = source.read() as Buffer | null;
     if (chunk !== null) {
       source.unshift(chunk);
-      return chunk.subarray(0, PEEK_BYTES);
+      return chunk;
     }
     if (source.destroyed || source.readableEnded) return EMPTY;
     await Promise.race(['readable', 'end', 'close'].map((event) => once(source, event)));
--- a/packages/traffic/src/CactusdealTrafficCall.ts
+++ b/packages/traffic/src/CactusdealTrafficCall.ts
@@ -28,7 +28,15 @@
 
 /** How a call ended here. */
 export type CallEnd =
-  | { readonly type: 'answered'; readonly upstreamMs: number; readonly queuedMs?: number }
+  | {
+      readonly type: 'answered';
+      /** Time in the queue and in the upstream, in milliseconds. */
+      readonly upstreamMs: number;
+      /** When the answer began, by this process's clock. */
+      readonly headAtMs: number;
+      /** Wait for a slot in milliseconds; known at the gate. */
+      readonly queuedMs?: number;
+    }
   | { readonly type: 'refused'; readonly refusal: Refusal }
   /** The head of an answer had been passed on, and the rest never came. */
   | { readonly type: 'cut' };
--- a/packages/traffic/src/CactusdealTrafficCaller.ts
+++ b/packages/traffic/src/CactusdealTrafficCaller.ts
@@ -119,7 +119,7 @@
 function createReadableSink(life: CallLife, begin: (answer: CallerAnswer) => void): AnswerSink {
   let body: Readable | undefined;
   return {
-    start: (status, rawHeaders, resume) => {
+    start: ({ status, rawHeaders }, resume) => {
       body = new Readable({
         read: resume,
         destroy: (error, callback) => {
--- a/packages/traffic/src/CactusdealTrafficEntry.ts
+++ b/packages/traffic/src/CactusdealTrafficEntry.ts
@@ -5,7 +5,7 @@
 import type { Call, CallEnd } from './CactusdealTrafficCall.js';
 import { buildTreeHeaders, explainFailure } from './CactusdealTrafficGate.js';
 import { GateSign } from './CactusdealTrafficGateState.js';
-import { CallHeader, findHeader } from './CactusdealTrafficHeaders.js';
+import { CallHeader } from './CactusdealTrafficHeaders.js';
 import type { TrafficMetrics } from './CactusdealTrafficMetrics.js';
 import type { Pools } from './CactusdealTrafficPools.js';
 import { createNotRun } from './CactusdealTrafficRefusal.js';
@@ -91,7 +91,6 @@
 
 async function sendToGate(parts: EntryParts, call: Call, gate: Gate): Promise<CallEnd> {
   const { sink } = call;
-  let upstreamMs = 0;
   const result = await sendAttempt({
     dispatcher: parts.pools.get(gate.address),
     method: call.method,
@@ -106,22 +105,21 @@
     signal: call.life.signal,
     idleTimeoutMs: parts.settings.idleTimeoutMs,
     toDaemon: true,
+    queuedMs: 0,
     clock: parts.clock,
     sink: {
       ...sink,
-      start: (status, rawHeaders, resume) => {
-        upstreamMs = Number(findHeader(rawHeaders, CallHeader.UpstreamMs) ?? 0);
+      start: (head, resume) => {
         call.life.stopDeadline();
-        sink.start(status, rawHeaders, resume);
+        sink.start(head, resume);
       },
     },
   });
-  return toCallEnd(call, result, upstreamMs);
+  return toCallEnd(call, result);
 }
 
-function toCallEnd(call: Call, result: AttemptResult, upstreamMs: number): CallEnd {
-  if (result.type === 'answered') return { type: 'answered', upstreamMs };
-  if (result.type === 'refused') return result;
+function toCallEnd(call: Call, result: AttemptResult): CallEnd {
+  if (result.type !== 'failed') return result;
   if (result.started) return { type: 'cut' };
   return { type: 'refused', refusal: explainFailure(call, result) };
 }
--- a/packages/traffic/src/CactusdealTrafficGate.ts
+++ b/packages/traffic/src/CactusdealTrafficGate.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { connect } from 'node:net';
 import type { CompleteSettings } from '@cactusdeal/schema';
 import { type Clock, formatCaught, type Log } from '@cactusdeal/shared';
@@ -9,6 +8,7 @@
 import type { TrafficMetrics } from './CactusdealTrafficMetrics.js';
 import type { Claims, ClaimTicket, GateQueue, Quarantine } from './CactusdealTrafficPolicyTypes.js';
 import type { Pools } from './CactusdealTrafficPools.js';
+import { computeFingerprint } from './CactusdealTrafficQuarantine.js';
 import { createNotRun, createRefusal } from './CactusdealTrafficRefusal.js';
 import {
   CallOutcome,
@@ -44,7 +44,7 @@
 ): Promise<CallEnd> {
   const early = checkWorker(parts, call, workerName);
   if (early !== undefined) return { type: 'refused', refusal: early };
-  const fingerprint = await computeFingerprint(call);
+  const fingerprint = await getFingerprint(call);
   const quarantined = parts.quarantine.check(fingerprint);
   if (quarantined !== undefined) return { type: 'refused', refusal: quarantined };
   const admitted = await parts.queue.admit({
@@ -79,10 +79,10 @@
     return { type: 'refused', refusal: late };
   }
   const worker = parts.getLocalWorker() as LocalWorker;
-  const result = await sendToWorker(parts, call, worker, ticket);
+  const result = await sendToWorker(parts, call, worker, ticket, queuedMs);
   if (result.type === 'answered') {
     parts.quarantine.recordSuccess(fingerprint);
-    return { type: 'answered', upstreamMs: result.headMs, queuedMs };
+    return { ...result, queuedMs };
   }
   return finishFailed(parts, call, worker, fingerprint, ticket, result);
 }
@@ -122,6 +122,7 @@
   call: Call,
   worker: LocalWorker,
   ticket: ClaimTicket | undefined,
+  queuedMs: number,
 ): Promise<AttemptResult> {
   const { sink } = call;
   return sendAttempt({
@@ -133,13 +134,14 @@
     signal: call.life.signal,
     idleTimeoutMs: parts.settings.idleTimeoutMs,
     toDaemon: false,
+    queuedMs,
     clock: parts.clock,
     sink: {
       ...sink,
-      start: (status, rawHeaders, resume) => {
-        ticket?.complete(status);
+      start: (head, resume) => {
+        ticket?.complete(head.status);
         call.life.stopDeadline();
-        sink.start(status, rawHeaders, resume);
+        sink.start(head, resume);
       },
     },
   });
@@ -208,12 +210,8 @@
   });
 }
 
-/** Names a request by what it asks for, so that a resent one is known again. */
-async function computeFingerprint(call: Call): Promise<string> {
-  const head = await call.body.peek();
-  return createHash('sha256')
-    .update(`${call.route.route.service} ${call.method} ${call.path}\n`)
-    .update(head)
-    .digest('hex')
-    .slice(0, 32);
+/** Fingerprints without the key, as a caller may send the same work again under a new one. */
+async function getFingerprint({ route, method, path, body }: Call): Promise<string> {
+  const { service } = route.route;
+  return computeFingerprint({ service, method, path, body: await body.sample() });
 }
--- a/packages/traffic/src/CactusdealTrafficHeaders.ts
+++ b/packages/traffic/src/CactusdealTrafficHeaders.ts
@@ -32,9 +32,10 @@
 
 const PREFIX = 'cactusdeal-';
 
-/** Fields that end at each hop, by RFC 9110 section 7.6.1. */
+/** Fields that end at each hop, by RFC 9110 section 7.6.1; each hop answers `expect` itself. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
+  'expect',
   'keep-alive',
   'proxy-authenticate',
   'proxy-authorization',
--- a/packages/traffic/src/CactusdealTrafficListener.ts
+++ b/packages/traffic/src/CactusdealTrafficListener.ts
@@ -72,9 +72,12 @@
     keepAliveTimeout: settings.idleTimeoutMs,
     connectionsCheckingInterval: Math.min(1000, settings.headerTimeoutMs),
   });
-  server.on('request', (request, response) => {
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
     void handleRequest(request, response);
-  });
+  };
+  server.on('request', handle);
+  // Asked for by the caller before it sends its body; answered once the head is accepted.
+  server.on('checkContinue', handle);
   server.timeout = settings.idleTimeoutMs;
   server.on('timeout', closeIdleSocket);
   options.metrics.observeGate(() => ({
@@ -102,20 +105,21 @@
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const gateName = request.headers[CallHeader.Gate];
     const role: CallRole = gateName === undefined ? 'entry' : 'gate';
-    if (draining) response.setHeader('connection', 'close');
-    if (draining && role === 'entry') {
+    if (draining) {
+      response.setHeader('connection', 'close');
       sendRefusal(response, createNotRun(RefusalKind.Draining, 'this daemon is stopping'));
       return;
     }
     inFlight.add(response);
+    response.once('close', () => {
+      inFlight.delete(response);
+      if (inFlight.size === 0) notifyIdle?.();
+    });
     try {
       await serveRequest(role, request, response, String(gateName));
     } catch (caught) {
       options.log.error('call-defect', { error: formatCaught(caught) });
       response.destroy();
-    } finally {
-      inFlight.delete(response);
-      if (inFlight.size === 0) notifyIdle?.();
     }
   }
 
@@ -148,6 +152,7 @@
     const head = acceptHead(options, readHead(request));
     if (head.isLeft()) return Left(head.extract());
     const accepted = head.unsafeCoerce();
+    if (request.headers.expect !== undefined) response.writeContinue();
     const life = startCallLife(accepted.remainingMs);
     response.once('close', () => {
       if (!response.writableFinished) life.cancel();
@@ -220,7 +225,9 @@
     options.metrics.recordCall(role, call.route, 'cut', { totalMs });
     return;
   }
-  options.metrics.recordCall(role, call.route, 'completed', { totalMs });
+  const addedMs = end.headAtMs - call.startedAtMs - end.upstreamMs;
+  const { queuedMs } = end;
+  options.metrics.recordCall(role, call.route, 'completed', { totalMs, addedMs, queuedMs });
 }
 
 function startListening(server: Server, address: string): Promise<void> {
--- a/packages/traffic/src/CactusdealTrafficMetrics.ts
+++ b/packages/traffic/src/CactusdealTrafficMetrics.ts
@@ -14,9 +14,9 @@
 /** Times of one call, in milliseconds. */
 export interface CallTimes {
   readonly totalMs: number;
-  /** Without the upstream's own time and the time in the queue; undefined where nothing was sent. */
-  readonly addedMs?: number;
-  readonly queuedMs?: number;
+  /** Until the answer began, without the queue and the upstream; undefined where none did. */
+  readonly addedMs?: number | undefined;
+  readonly queuedMs?: number | undefined;
 }
 
 /** What the path of calls counts. */
--- a/packages/traffic/src/CactusdealTrafficResponse.ts
+++ b/packages/traffic/src/CactusdealTrafficResponse.ts
@@ -1,18 +1,17 @@
 import type { ServerResponse } from 'node:http';
 import type { AnswerSink } from './CactusdealTrafficAttempt.js';
-import { CallHeader, selectEndToEnd, findHeader } from './CactusdealTrafficHeaders.js';
+import { CallHeader, selectEndToEnd } from './CactusdealTrafficHeaders.js';
 import { toRetryAfterSeconds } from './CactusdealTrafficRefusal.js';
 import { CallOutcome, type Refusal } from './CactusdealTrafficTypes.js';
 
 /** Creates a sink that passes an answer on to a caller's connection. */
 export function createResponseSink(response: ServerResponse): AnswerSink {
   return {
-    start: (status, rawHeaders, resume) => {
+    start: ({ status, rawHeaders, upstreamMs }, resume) => {
       response.on('drain', resume);
-      const upstreamMs = findHeader(rawHeaders, CallHeader.UpstreamMs);
       const headers = selectEndToEnd(rawHeaders);
       headers.push(CallHeader.Outcome, CallOutcome.Completed);
-      if (upstreamMs !== undefined) headers.push(CallHeader.UpstreamMs, upstreamMs);
+      headers.push(CallHeader.UpstreamMs, upstreamMs.toFixed(3));
       if (response.hasHeader('connection')) headers.push('connection', 'close');
       response.writeHead(status, headers);
     },
--- /dev/null
+++ b/packages/traffic/src/__tests__/unit/CactusdealTrafficFaults.test.ts
@@ -0,0 +1,276 @@
+import assert from 'node:assert/strict';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
+import { afterEach, describe, it } from 'node:test';
+import {
+  sendCall,
+  startTestDaemon,
+  startUpstream,
+  type TestCall,
+  type TestDaemon,
+  type TestUpstream,
+} from '../CactusdealTrafficFixtures.js';
+
+const KEYED: TestCall = { method: 'POST', body: 'approve', headers: { 'idempotency-key': 'k' } };
+const APPROVAL = '/records/approvals';
+const LOOKUP = '/records/1';
+/** An address where nothing listens. */
+const NOWHERE = '127.0.0.1:9';
+
+const answerOk: RequestListener = (request, response) => {
+  request.resume();
+  request.on('end', () => response.end('ok'));
+};
+
+const breakOff: RequestListener = (request) => {
+  request.resume();
+  request.on('end', () => request.socket.destroy());
+};
+
+const claimNotRun: RequestListener = (request, response) => {
+  request.resume();
+  response.writeHead(503, { 'cactusdeal-refusal': 'Draining', 'cactusdeal-outcome': 'not-run' });
+  response.end('{}');
+};
+
+interface FaultCase {
+  readonly name: string;
+  /** What the first gate's upstream does; an address where nothing listens when absent. */
+  readonly first?: RequestListener;
+  readonly path: string;
+  readonly call?: TestCall;
+  readonly change?: (first: TestDaemon) => void;
+  readonly status: number;
+  readonly outcome: string;
+  readonly refusal?: string;
+  /** Requests that each upstream recorded. */
+  readonly runs: readonly [number, number];
+  readonly claims?: readonly string[];
+}
+
+const CASES: readonly FaultCase[] = [
+  {
+    name: 'an upstream that cannot be reached has not run the call, which another serves',
+    path: APPROVAL,
+    call: KEYED,
+    status: 200,
+    outcome: 'completed',
+    runs: [0, 1],
+    claims: ['claim k', 'abandon k'],
+  },
+  {
+    name: 'an atMostOnce call that broke off in mid-send is unknown and is not sent again',
+    first: breakOff,
+    path: APPROVAL,
+    call: KEYED,
+    status: 502,
+    outcome: 'unknown',
+    refusal: 'UpstreamFailed',
+    runs: [1, 0],
+    claims: ['claim k'],
+  },
+  {
+    name: 'an idempotent call that broke off is sent to another gate',
+    first: breakOff,
+    path: LOOKUP,
+    status: 200,
+    outcome: 'completed',
+    runs: [1, 1],
+  },
+  {
+    name: 'an upstream cannot pass its answer off as a refusal',
+    first: claimNotRun,
+    path: APPROVAL,
+    call: KEYED,
+    status: 503,
+    outcome: 'completed',
+    runs: [1, 0],
+    claims: ['claim k', 'complete k 503'],
+  },
+  {
+    name: 'a draining worker refuses as not run, and another serves',
+    first: answerOk,
+    change: (first) => {
+      Object.assign(first.snapshot.drains, {
+        'worker-first': { service: 'records', reason: 'repair' },
+      });
+    },
+    path: APPROVAL,
+    call: KEYED,
+    status: 200,
+    outcome: 'completed',
+    runs: [0, 1],
+    claims: [],
+  },
+  {
+    name: 'a worker that is no longer the one chosen refuses as not run',
+    first: answerOk,
+    change: (first) => {
+      Object.assign(first.worker ?? {}, { name: 'worker-other' });
+    },
+    path: APPROVAL,
+    call: KEYED,
+    status: 200,
+    outcome: 'completed',
+    runs: [0, 1],
+    claims: [],
+  },
+  {
+    name: 'a stopping gate refuses as not run, and another serves',
+    first: answerOk,
+    change: (first) => {
+      void first.listener.drain();
+    },
+    path: APPROVAL,
+    call: KEYED,
+    status: 200,
+    outcome: 'completed',
+    runs: [0, 1],
+    claims: [],
+  },
+  {
+    name: 'a gate that cannot be reached has not run the call',
+    first: answerOk,
+    change: (first) => {
+      Object.assign(first.gate, { address: NOWHERE });
+    },
+    path: APPROVAL,
+    call: KEYED,
+    status: 200,
+    outcome: 'completed',
+    runs: [0, 1],
+    claims: [],
+  },
+  {
+    name: 'a deadline that passes after sending is unknown',
+    first: (request) => request.resume(),
+    path: APPROVAL,
+    call: { ...KEYED, headers: { 'idempotency-key': 'k', 'cactusdeal-deadline-ms': '50' } },
+    status: 504,
+    outcome: 'unknown',
+    refusal: 'DeadlinePassed',
+    runs: [1, 0],
+  },
+  {
+    name: 'a deadline that has passed already is not sent',
+    first: answerOk,
+    path: APPROVAL,
+    call: { ...KEYED, headers: { 'idempotency-key': 'k', 'cactusdeal-deadline-ms': '0' } },
+    status: 504,
+    outcome: 'not-run',
+    refusal: 'DeadlinePassed',
+    runs: [0, 0],
+  },
+];
+
+describe('what a caller may believe after a fault', () => {
+  const open: { close(): Promise<void> }[] = [];
+  afterEach(async () => {
+    await Promise.all(open.splice(0).map((one) => one.close()));
+  });
+
+  async function startPair(first?: RequestListener): Promise<{
+    entry: TestDaemon;
+    gates: [TestDaemon, TestDaemon];
+    upstreams: [TestUpstream | undefined, TestUpstream];
+  }> {
+    const upstreams: [TestUpstream | undefined, TestUpstream] = [
+      first === undefined ? undefined : await startUpstream(first),
+      await startUpstream(answerOk),
+    ];
+    const gates: [TestDaemon, TestDaemon] = [
+      await startTestDaemon({ memberId: 'first', upstream: upstreams[0]?.address ?? NOWHERE }),
+      await startTestDaemon({ memberId: 'second', upstream: upstreams[1].address }),
+    ];
+    const entry = await startTestDaemon({ memberId: 'entry' });
+    entry.local = gates.map((gate) => gate.gate);
+    open.push(entry.listener, ...gates.map((gate) => gate.listener));
+    open.push(...upstreams.filter((upstream) => upstream !== undefined));
+    return { entry, gates, upstreams };
+  }
+
+  for (const example of CASES) {
+    it(example.name, async () => {
+      const { entry, gates, upstreams } = await startPair(example.first);
+      example.change?.(gates[0]);
+      const answer = await sendCall(entry.listener.address, example.path, example.call);
+      assert.equal(answer.headers['cactusdeal-refusal'], example.refusal);
+      assert.equal(answer.status, example.status);
+      assert.equal(answer.headers['cactusdeal-outcome'], example.outcome);
+      const runs = upstreams.map((upstream) => upstream?.seen.length ?? 0);
+      assert.deepEqual(runs, example.runs);
+      if (example.claims !== undefined) assert.deepEqual(gates[0].claims.events, example.claims);
+      for (const gate of gates) {
+        assert.equal(await readGauge(gate, 'cactusdeal_gate_slots_in_use'), 0);
+      }
+    });
+  }
+
+  it('records a crash of the upstream and not a mere broken connection', async () => {
+    const crash = async (response: ServerResponse): Promise<void> => {
+      await upstreams[0]?.close();
+      response.destroy();
+    };
+    const { entry, gates, upstreams } = await startPair((request, response) => {
+      if (request.url === LOOKUP) void crash(response);
+      else breakOff(request, response);
+    });
+    await sendCall(entry.listener.address, '/records/2');
+    assert.equal(gates[0].quarantine.crashes.length, 0);
+    await sendCall(entry.listener.address, LOOKUP);
+    assert.equal(gates[0].quarantine.crashes.length, 1);
+  });
+
+  it('frees the slot and ends the upstream request when the caller goes away', async () => {
+    let ended: Promise<void> | undefined;
+    const { entry, gates } = await startPair((request) => {
+      ended = new Promise((resolve) => {
+        request.once('close', resolve);
+      });
+    });
+    const controller = new AbortController();
+    const lost = fetch(`http://${entry.listener.address}${LOOKUP}`, { signal: controller.signal });
+    while (ended === undefined) await new Promise(setImmediate);
+    assert.equal(await readGauge(gates[0], 'cactusdeal_gate_slots_in_use'), 1);
+    controller.abort();
+    await assert.rejects(lost);
+    await ended;
+    while ((await readGauge(gates[0], 'cactusdeal_gate_slots_in_use')) > 0) {
+      await new Promise(setImmediate);
+    }
+  });
+
+  it('hands what travels with the call to the upstream, without what is for daemons only', async () => {
+    let seen: IncomingMessage['headers'] = {};
+    const { entry } = await startPair((request, response) => {
+      seen = request.headers;
+      response.end();
+    });
+    await sendCall(entry.listener.address, LOOKUP, {
+      headers: {
+        'cactusdeal-depth': '3',
+        'cactusdeal-deadline-ms': '900',
+        'cactusdeal-retry-budget': '0.08',
+        'cactusdeal-attempt': 'forged',
+        'cactusdeal-upstream-ms': '1',
+        connection: 'close, x-private',
+        'x-private': '1',
+        'x-public': '2',
+        te: 'trailers',
+      },
+    });
+    assert.equal(seen['cactusdeal-service'], 'records');
+    assert.equal(seen['cactusdeal-depth'], '4');
+    assert.ok(Number(seen['cactusdeal-deadline-ms']) <= 900);
+    assert.ok(Number(seen['cactusdeal-deadline-ms']) > 0);
+    assert.equal(seen['cactusdeal-retry-budget'], '0.04');
+    assert.equal(seen['x-public'], '2');
+    for (const name of ['x-private', 'te', 'cactusdeal-attempt', 'cactusdeal-gate']) {
+      assert.equal(seen[name], undefined, name);
+    }
+  });
+});
+
+async function readGauge(daemon: TestDaemon, name: string): Promise<number> {
+  const metric = await daemon.registry.getSingleMetric(name)?.get();
+  return metric?.values[0]?.value ?? Number.NaN;
+}
