--- a/packages/configuration/src/CactusdealConfigurationHash.ts
+++ b/packages/configuration/src/CactusdealConfigurationHash.ts
@@ -110,6 +110,7 @@
 
 /** Digests are sorted, since the order of a map follows the order of insertion. */
 function computeBucket(bucket: ReadonlyMap<string, string>): string {
+  if (bucket.size === 0) return '';
   const digests = [...bucket.values()].sort();
   return createHash('sha256').update(digests.join('\n')).digest('base64');
 }
--- a/packages/operator/src/CactusdealOperatorConfirm.ts
+++ b/packages/operator/src/CactusdealOperatorConfirm.ts
@@ -10,7 +10,7 @@
 import { createBackoff } from './CactusdealOperatorBackoff.js';
 import { encodeValue, parsePlan, readLogValue } from './CactusdealOperatorCodec.js';
 import { getLogKey, getPlanKey } from './CactusdealOperatorKeys.js';
-import { readManifest } from './CactusdealOperatorManifest.js';
+import { readTrimMark } from './CactusdealOperatorTrim.js';
 import {
   type Acceptance,
   type ConfirmFailure,
@@ -87,9 +87,9 @@
   const before = await platform.get(getLogKey(version - 1));
   if (before.isLeft()) return toNotDone(before.extract());
   if (before.unsafeCoerce() !== undefined) return undefined;
-  const read = await readManifest(platform);
+  const read = await readTrimMark(platform);
   if (read.isLeft()) return toNotDone(read.extract());
-  if (read.unsafeCoerce().manifest.trimmedThrough >= version - 1) return buildStale(version);
+  if (read.unsafeCoerce().mark.trimmedThrough >= version - 1) return buildStale(version);
   const message = `the platform's log lacks version ${version - 1}`;
   return { kind: ConfirmFailureKind.LogIncomplete, message };
 }
@@ -134,22 +134,22 @@
 }
 
 /**
- * Makes sure that the key was not free because its entry had been trimmed. The manifest states how
- * far the log is trimmed before any key goes, so a manifest read after the write is decisive.
+ * Makes sure that the key was not free because its entry had been trimmed. The mark is raised
+ * before any key goes, so a mark read after the write is decisive.
  */
 async function settleOwn(
   platform: Platform,
   entry: LogEntry,
   revision: number,
 ): Promise<Either<ConfirmFailure, LogEntry>> {
-  const read = await readManifest(platform);
+  const read = await readTrimMark(platform);
   if (read.isLeft()) {
     const message = `written, but not checked against trimming; confirm plan ${entry.planId} again`;
     return refuse(ConfirmFailureKind.Unknown, message);
   }
-  const { manifest, revision: manifestRevision } = read.unsafeCoerce();
-  if (manifest.trimmedThrough < entry.version) return Right(entry);
-  if (revision < manifestRevision) {
+  const trim = read.unsafeCoerce();
+  if (trim.mark.trimmedThrough < entry.version) return Right(entry);
+  if (revision < trim.revision) {
     const message = `version ${entry.version} is trimmed, so its outcome can no longer be told`;
     return refuse(ConfirmFailureKind.Unknown, message);
   }
--- a/packages/operator/src/CactusdealOperatorHistory.ts
+++ b/packages/operator/src/CactusdealOperatorHistory.ts
@@ -1,9 +1,10 @@
 import type { Platform } from '@cactusdeal/platform';
 import type { LogEntry } from '@cactusdeal/schema';
-import { Either, Left } from 'purify-ts';
+import { Either } from 'purify-ts';
 import { readLogValue } from './CactusdealOperatorCodec.js';
 import { getLogKey } from './CactusdealOperatorKeys.js';
 import { readManifest, toUnavailable } from './CactusdealOperatorManifest.js';
+import { readTrimMark } from './CactusdealOperatorTrim.js';
 import type { LoadFailure } from './CactusdealOperatorTypes.js';
 
 export interface HistoryRange {
@@ -15,15 +16,20 @@
 
 const MAX_LIMIT = 200;
 
-/** Reads accepted changes, newest first; the list ends where the log has been trimmed. */
+/** Reads accepted changes, newest first, as far back as the log is kept. */
 export async function readHistory(
   platform: Platform,
   { before, limit }: HistoryRange,
 ): Promise<Either<LoadFailure, LogEntry[]>> {
-  const newest = before === undefined ? await findNewest(platform) : null;
-  if (newest?.isLeft()) return Left(newest.extract());
-  const last = newest === null ? (before as number) - 1 : newest.unsafeCoerce();
-  const count = Math.max(0, Math.min(limit, MAX_LIMIT, last));
+  const [manifest, trim] = await Promise.all([
+    before === undefined ? readManifest(platform) : undefined,
+    readTrimMark(platform),
+  ]);
+  if (manifest?.isLeft()) return manifest;
+  if (trim.isLeft()) return trim;
+  const last = (before ?? (manifest?.unsafeCoerce().manifest.headVersion ?? 0) + 1) - 1;
+  const { trimmedThrough } = trim.unsafeCoerce().mark;
+  const count = Math.max(0, Math.min(limit, MAX_LIMIT, last - trimmedThrough));
   const versions = Array.from({ length: count }, (_, index) => last - index);
   const found = await Promise.all(versions.map((version) => readVersion(platform, version)));
   return Either.sequence(found).map((entries) =>
@@ -31,11 +37,6 @@
   );
 }
 
-async function findNewest(platform: Platform): Promise<Either<LoadFailure, number>> {
-  const read = await readManifest(platform);
-  return read.map(({ manifest }) => manifest.headVersion);
-}
-
 async function readVersion(
   platform: Platform,
   version: number,
--- a/packages/operator/src/CactusdealOperatorKeys.ts
+++ b/packages/operator/src/CactusdealOperatorKeys.ts
@@ -4,6 +4,11 @@
 /** Key of the checkpoint's manifest. */
 export const MANIFEST_KEY = 'checkpoint/manifest';
 
+/** Key that states how far the log is trimmed. */
+export const TRIM_KEY = 'checkpoint/trim';
+/** Key that the writer of checkpoints holds by its lease. */
+export const CHECKPOINT_WRITER_KEY = 'checkpoint/writer';
+
 /** Returns the key of the log entry that holds the version. */
 export function getLogKey(version: number): string {
   return `log/${String(version).padStart(VERSION_DIGITS, '0')}`;
--- a/packages/operator/src/CactusdealOperatorLogReader.ts
+++ b/packages/operator/src/CactusdealOperatorLogReader.ts
@@ -4,8 +4,8 @@
 import { createBackoff } from './CactusdealOperatorBackoff.js';
 import { readLogValue } from './CactusdealOperatorCodec.js';
 import { getLogKey } from './CactusdealOperatorKeys.js';
-import { readManifest } from './CactusdealOperatorManifest.js';
 import { loadStart } from './CactusdealOperatorStart.js';
+import { readTrimMark } from './CactusdealOperatorTrim.js';
 
 /** Where a log reader hands over what it reads. */
 export interface LogReaderTarget {
@@ -55,8 +55,8 @@
 }
 
 /**
- * Hands over what a watch brought; answers why it could not. The manifest is read after the entry:
- * one below what it states as trimmed may be a late write of a plan that lost long ago.
+ * Hands over what a watch brought; answers why it could not. The trim mark is read after the entry:
+ * an entry at or below the mark may be a late write of a plan that lost long ago.
  */
 async function forwardRecord(
   platform: Platform,
@@ -65,12 +65,9 @@
   record: PlatformRecord | undefined,
 ): Promise<string | undefined> {
   if (target.getHeadVersion() >= version) return undefined;
-  const read = await readManifest(platform);
+  const read = await readTrimMark(platform);
   if (read.isLeft()) return read.extract().message;
-  const { manifest } = read.unsafeCoerce();
-  const isBehind =
-    record === undefined ? manifest.headVersion >= version : manifest.trimmedThrough >= version;
-  if (isBehind) return forwardStart(platform, target);
+  if (read.unsafeCoerce().mark.trimmedThrough >= version) return forwardStart(platform, target);
   if (record === undefined || target.getHeadVersion() >= version) return undefined;
   target.acceptEntry(readLogValue(version, record.value));
   if (target.getHeadVersion() >= version) return undefined;
--- a/packages/operator/src/CactusdealOperatorManifest.ts
+++ b/packages/operator/src/CactusdealOperatorManifest.ts
@@ -45,7 +45,5 @@
     headVersion: 0,
     generations: [{ version: 0, hash, shards: [] }],
     entries: [],
-    trimmedThrough: 0,
-    removedThrough: 0,
   };
 }
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,4 +1,13 @@
 export { type Backoff, createBackoff } from './CactusdealOperatorBackoff.js';
+export {
+  type CheckpointLimits,
+  type CheckpointReport,
+  type CheckpointSource,
+  type CheckpointWriter,
+  createCheckpointWriter,
+  DEFAULT_LIMITS,
+} from './CactusdealOperatorCheckpoint.js';
+export { type CheckpointerOptions, runCheckpointer } from './CactusdealOperatorCheckpointer.js';
 export {
   confirmPlan,
   type ConfirmOptions,
@@ -12,6 +21,7 @@
   getReaderKey,
   getRosterKey,
   MANIFEST_KEY,
+  TRIM_KEY,
 } from './CactusdealOperatorKeys.js';
 export {
   type LogReaderOptions,
--- a/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
+++ b/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
@@ -32,6 +32,7 @@
   plan?: Plan;
   intent?: Intent;
   manifest?: Manifest;
+  trimMark?: TrimMark;
   shard?: Shard;
   slotHolder?: SlotHolder;
 }
@@ -219,14 +220,6 @@
    * Log entries above the newest generation up to the head.
    */
   entries: LogEntry[];
-  /**
-   * Log entries up to this version no longer count; stated before any of them is removed.
-   */
-  trimmedThrough: number;
-  /**
-   * Log entries up to this version have been removed.
-   */
-  removedThrough: number;
 }
 /**
  * A whole snapshot in shards.
@@ -250,6 +243,19 @@
    */
   bytes: number;
 }
+/**
+ * How far the log is trimmed.
+ */
+export interface TrimMark {
+  /**
+   * Log entries up to this version no longer count; stated before any of them is removed.
+   */
+  trimmedThrough: number;
+  /**
+   * Log entries up to this version have been removed.
+   */
+  removedThrough: number;
+}
 /**
  * A part of a snapshot's entries.
  */
@@ -295,6 +301,9 @@
     "manifest": {
       "$ref": "#/definitions/Manifest"
     },
+    "trimMark": {
+      "$ref": "#/definitions/TrimMark"
+    },
     "shard": {
       "$ref": "#/definitions/Shard"
     },
@@ -890,9 +899,7 @@
       "required": [
         "headVersion",
         "generations",
-        "entries",
-        "trimmedThrough",
-        "removedThrough"
+        "entries"
       ],
       "properties": {
         "headVersion": {
@@ -913,7 +920,18 @@
           "items": {
             "$ref": "#/definitions/LogEntry"
           }
-        },
+        }
+      }
+    },
+    "TrimMark": {
+      "description": "How far the log is trimmed.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "trimmedThrough",
+        "removedThrough"
+      ],
+      "properties": {
         "trimmedThrough": {
           "description": "Log entries up to this version no longer count; stated before any of them is removed.",
           "type": "integer",
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -19,6 +19,7 @@
   SlotHolder,
   SetWeightsIntent,
   Snapshot,
+  TrimMark,
   UndrainWorkerIntent,
 } from './CactusdealSchemaConfiguration.generated.js';
 export type {
