Wire the daemon: a whole path from intent to call over two data centres

Cause: the parts had no process to run in. Ruled out: answering calls before a configuration is held (a wrong refusal would look final).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,7 +7,7 @@
   batch build
   cancel check choose claim close collect commit compare compute confirm connect convert count create
   decode diff discard drain
-  emit encode error evict expand explain
+  emit encode evict expand explain
   fetch fill find finish flush format forward
   get grant group
   handle has hash hold
@@ -19,7 +19,7 @@
   parse pick plan print probe publish push
   quarantine
   read receive record refuse register reject release remove render renew replace report resolve retry route run
-  schedule select send serve set settle share shed should split start stop store subscribe suspect swap sync
+  schedule select send serve set settle share shed should split start stop store subscribe survey suspect swap sync
   take to track trim try
   update use
   validate
--- a/packages/daemon/src/CactusdealDaemonSettings.ts
+++ b/packages/daemon/src/CactusdealDaemonSettings.ts
@@ -2,6 +2,7 @@
 import {
   type CompleteSettings,
   createValidator,
+  type DaemonSettings,
   type SchemaFailure,
   type SchemaFault,
 } from '@cactusdeal/schema';
@@ -56,7 +57,13 @@
 }
 
 function fillIn(settings: CompleteSettings): CompleteSettings {
-  return { ...settings, id: settings.id ?? settings.listen.mesh };
+  const { mesh, calls } = settings.listen;
+  const advertised: DaemonSettings['advertise'] = settings.advertise;
+  return {
+    ...settings,
+    id: settings.id ?? mesh,
+    advertise: { mesh: advertised?.mesh ?? mesh, calls: advertised?.calls ?? calls },
+  };
 }
 
 /** Finds addresses whose octets or port are out of range, which the schema's pattern lets pass. */
--- /dev/null
+++ b/packages/daemon/src/CactusdealDaemonState.ts
@@ -0,0 +1,32 @@
+import { type ConfigurationHolder, hashSnapshot } from '@cactusdeal/configuration';
+import type { MeshState } from '@cactusdeal/mesh';
+
+/** Adapts the configuration that this daemon holds to what the mesh spreads and surveys. */
+export function createMeshState(options: {
+  readonly holder: ConfigurationHolder;
+  readonly getMemberId: () => string;
+}): MeshState {
+  const { holder, getMemberId } = options;
+  return {
+    getVersion: () => holder.getSnapshot().version,
+    getHeadVersion: () => holder.getHeadVersion(),
+    getEntriesAfter: (version) => holder.getEntriesAfter(version),
+    getSnapshotWithHash: () => {
+      const snapshot = holder.getSnapshot();
+      return { snapshot, hash: hashSnapshot(snapshot) };
+    },
+    getRejections: () =>
+      holder.getRejections().map(({ version, failure }) => ({
+        memberId: getMemberId(),
+        version,
+        kind: failure.kind,
+        message: failure.message,
+      })),
+    acceptEntry: (entry) => {
+      const before = holder.getHeadVersion();
+      holder.applyEntry(entry);
+      return holder.getHeadVersion() > before;
+    },
+    acceptSnapshot: (snapshot, hash) => holder.replaceSnapshot(snapshot, hash).isRight(),
+  };
+}
--- a/packages/schema/src/CactusdealSchemaSettings.generated.ts
+++ b/packages/schema/src/CactusdealSchemaSettings.generated.ts
@@ -319,7 +319,7 @@
           "type": "integer",
           "minimum": 200,
           "maximum": 600000,
-          "default": 10000
+          "default": 3000
         }
       }
     },
