Print log lines; choose the variant of an intent by its type before checking it

Cause: the log library decides at load time whether it logs, and keeps a reference to its state, so replacing that state did nothing; and a fault in an intent was reported once for each variant that was not meant. Ruled out: asking operators to set the library's variable; filtering the faults by path. Conclusion: the library's state is changed in place, and the schema names its discriminator.

--- a/packages/client/src/CactusdealClientIntents.ts
+++ b/packages/client/src/CactusdealClientIntents.ts
@@ -18,8 +18,12 @@
 /** Flags of the command line as `cac` parsed them. */
 export type Flags = Readonly<Record<string, unknown>>;
 
+const validateService = createValidator<Service>('configuration#/definitions/Service');
+const validateRoute = createValidator<Route>('configuration#/definitions/Route');
 const validateIntent = createValidator<Intent>('configuration#/definitions/Intent');
 
+const DEFAULT_QUEUE_LIMIT = 100;
+
 /** Parses `DATA-CENTRE=NUMBER` pairs. */
 export function parseWeights(
   pairs: readonly string[],
@@ -38,12 +42,10 @@
 /** Builds the intent that adds or changes a service. */
 export function buildServiceIntent(name: string, flags: Flags): Either<UsageFailure, Intent> {
   return parseWeights(toList(flags.weight)).chain((weights) => {
-    const service = {
-      tenant: flags.tenant,
-      queueLimit: flags.queueLimit ?? 100,
-      weights,
-    } as Service;
-    return checkIntent(wrapOperation({ type: 'setService', name, service }));
+    const { tenant, queueLimit = DEFAULT_QUEUE_LIMIT } = flags;
+    return validateService({ tenant, queueLimit, weights })
+      .mapLeft(refuseFaults)
+      .chain((service) => checkIntent(wrapOperation({ type: 'setService', name, service })));
   });
 }
 
@@ -60,8 +62,10 @@
     share: flags.share ?? 0,
     worth: flags.worth ?? 1,
     maxBodyBytes: flags.maxBodyBytes ?? 1_048_576,
-  } as Route;
-  return checkIntent(wrapOperation({ type: 'setRoute', name, route }));
+  };
+  return validateRoute(route)
+    .mapLeft(refuseFaults)
+    .chain((valid) => checkIntent(wrapOperation({ type: 'setRoute', name, route: valid })));
 }
 
 /** Loads operations from a TOML or JSON file with a list `operations`. */
@@ -79,7 +83,7 @@
 
 /** Checks an intent against the schema before it is sent. */
 export function checkIntent(value: unknown): Either<UsageFailure, Intent> {
-  return validateIntent(value).mapLeft((failure) => refuseUsage(formatFaults(failure, value)));
+  return validateIntent(value).mapLeft(refuseFaults);
 }
 
 /** Wraps one operation as an intent. */
@@ -92,25 +96,10 @@
   return Array.isArray(flag) ? flag.map(String) : [String(flag)];
 }
 
-// Every variant that was not meant reports its own faults; only those of the meant one help.
-function formatFaults(failure: SchemaFailure, value: unknown): string {
-  const meant = failure.faults.filter((fault) => !fault.path.endsWith('type'));
-  const useful = meant.filter((fault) => !isForeignKey(fault.path, fault.found, value));
-  const lines = (useful.length > 0 ? useful : failure.faults).map(formatFault);
-  return [...new Set(lines)].join('; ');
-}
-
-function isForeignKey(path: string, found: string, value: unknown): boolean {
-  if (found === 'unknown key') return hasPath(value, path);
-  return found === 'nothing' && !/tenant|service|path/i.test(path);
-}
-
-function hasPath(value: unknown, path: string): boolean {
-  const found = path.split('.').reduce<unknown>((inner, key) => {
-    if (typeof inner !== 'object' || inner === null) return undefined;
-    return (inner as Record<string, unknown>)[key];
-  }, value);
-  return found !== undefined;
+// Each variant of a choice reports that its own type was not meant; that helps nobody.
+function refuseFaults({ faults }: SchemaFailure): UsageFailure {
+  const useful = faults.filter(({ path }) => path !== 'type' && !path.endsWith('.type'));
+  return refuseUsage(useful.map(formatFault).join('; '));
 }
 
 function refuseUsage(message: string): UsageFailure {
--- a/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
+++ b/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
@@ -479,6 +479,13 @@
     },
     "Operation": {
       "description": "One typed change of the configuration.",
+      "type": "object",
+      "required": [
+        "type"
+      ],
+      "discriminator": {
+        "propertyName": "type"
+      },
       "oneOf": [
         {
           "title": "SetService",
@@ -655,6 +662,13 @@
     },
     "Intent": {
       "description": "What an operator asks for.",
+      "type": "object",
+      "required": [
+        "type"
+      ],
+      "discriminator": {
+        "propertyName": "type"
+      },
       "oneOf": [
         {
           "title": "SetWeightsIntent",
--- a/packages/schema/src/CactusdealSchemaValidator.ts
+++ b/packages/schema/src/CactusdealSchemaValidator.ts
@@ -23,7 +23,13 @@
 
 const MAX_FOUND_LENGTH = 80;
 
-const ajv = new Ajv({ allErrors: true, useDefaults: true, verbose: true, strict: false });
+const ajv = new Ajv({
+  allErrors: true,
+  discriminator: true,
+  useDefaults: true,
+  verbose: true,
+  strict: false,
+});
 ajv.addSchema(configurationSchema, 'configuration');
 ajv.addSchema(messagesSchema, 'messages');
 ajv.addSchema(settingsSchema, 'settings');
--- a/packages/shared/src/CactusdealSharedLog.ts
+++ b/packages/shared/src/CactusdealSharedLog.ts
@@ -1,3 +1,4 @@
+import './CactusdealSharedLogEnable.js';
 import { Roarr } from 'roarr';
 import { formatCaught } from './CactusdealSharedFailure.js';
 
@@ -10,12 +11,21 @@
 
 /** Writes one line for each event, with the fields that are common to a component. */
 export interface Log {
+  debug(event: string, fields?: LogFields): void;
   info(event: string, fields?: LogFields): void;
   warn(event: string, fields?: LogFields): void;
   error(event: string, fields?: LogFields): void;
   with(fields: LogFields): Log;
 }
 
+/** The library keeps a reference to this object, so it is changed in place. */
+interface RoarrState {
+  write: (message: string) => void;
+}
+
+const { ROARR: roarr } = globalThis as unknown as { readonly ROARR: RoarrState };
+roarr.write = () => {};
+
 interface RoarrLine {
   readonly time: number;
   readonly message: string;
@@ -24,12 +34,9 @@
 
 /** Directs all of the process's log lines to `write`, dropping those under `minimum`. */
 export function startLogging(write: (line: string) => void, minimum: LogLevel): void {
-  (globalThis as { ROARR?: { write?: (message: string) => void } }).ROARR = {
-    ...(globalThis as { ROARR?: object }).ROARR,
-    write: (message) => {
-      const line = JSON.parse(message) as RoarrLine;
-      if (Number(line.context.logLevel) >= minimum) write(formatLine(line));
-    },
+  roarr.write = (message) => {
+    const line = JSON.parse(message) as RoarrLine;
+    if (Number(line.context.logLevel) >= minimum) write(formatLine(line));
   };
 }
 
@@ -37,6 +44,7 @@
 export function createLog(fields: LogFields = {}): Log {
   const logger = Roarr.child(fields as Record<string, string>);
   return {
+    debug: (event, more = {}) => logger.debug(more as Record<string, string>, event),
     info: (event, more = {}) => logger.info(more as Record<string, string>, event),
     warn: (event, more = {}) => logger.warn(more as Record<string, string>, event),
     error: (event, more = {}) => logger.error(more as Record<string, string>, event),
@@ -46,7 +54,14 @@
 
 /** Creates a log that discards everything, for tests. */
 export function createSilentLog(): Log {
-  const silent: Log = { info: () => {}, warn: () => {}, error: () => {}, with: () => silent };
+  const ignore = (): void => {};
+  const silent: Log = {
+    debug: ignore,
+    info: ignore,
+    warn: ignore,
+    error: ignore,
+    with: () => silent,
+  };
   return silent;
 }
 
