--- a/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
+++ b/packages/schema/src/CactusdealSchemaConfiguration.generated.ts
@@ -488,6 +488,13 @@
     },
     "Operation": {
       "description": "One typed change of the configuration.",
+      "type": "object",
+      "required": [
+        "type"
+      ],
+      "discriminator": {
+        "propertyName": "type"
+      },
       "oneOf": [
         {
           "title": "SetService",
@@ -664,6 +671,13 @@
     },
     "Intent": {
       "description": "What an operator asks for.",
+      "type": "object",
+      "required": [
+        "type"
+      ],
+      "discriminator": {
+        "propertyName": "type"
+      },
       "oneOf": [
         {
           "title": "SetWeightsIntent",
