--- a/packages/mesh/src/CactusdealMeshBroadcast.ts
+++ b/packages/mesh/src/CactusdealMeshBroadcast.ts
@@ -1,32 +1,34 @@
-import type { GossipMessage, GraftMessage, IHaveMessage } from '@cactusdeal/schema';
-import { type Clock, type Log, waitMs } from '@cactusdeal/shared';
+import type { GossipMessage } from '@cactusdeal/schema';
+import { type Clock, waitMs } from '@cactusdeal/shared';
 import type { Peer } from './CactusdealMeshPeer.js';
+import type { Router } from './CactusdealMeshRouter.js';
 
-/** What a broadcast carries. */
+/** What a broadcast carries; `kind` says which part takes it. */
 export type GossipBody = GossipMessage['body'];
 
+/** Takes a value that arrived for the first time; answers whether it is worth passing on. */
+export type ReceiveBody = (body: GossipBody, peer: Peer) => boolean;
+
 /** Epidemic broadcast over the active view (Plumtree, Leitão et al. 2007). */
 export interface Broadcast {
   /** Spreads a value under an id; does nothing when the id was seen already. */
   publish(id: string, body: GossipBody): void;
-  handleGossip(peer: Peer, message: GossipMessage): void;
-  handleIHave(peer: Peer, message: IHaveMessage): void;
-  handleGraft(peer: Peer, message: GraftMessage): void;
-  handlePrune(peer: Peer): void;
+  /** Registers the part that takes the values of one kind. */
+  receive(kind: string, receiveBody: ReceiveBody): void;
   /** Sends the announcements that are due and drops values past their retention. */
   flush(): void;
+  /** Largest number of hops that a value took to come here. */
+  getMaxHops(): number;
 }
 
 /** What the broadcast needs from its surroundings. */
 export interface BroadcastOptions {
   readonly listPeers: () => Iterable<Peer>;
-  /** Takes a value that arrived for the first time; answers whether it is worth passing on. */
-  readonly deliver: (body: GossipBody, peer: Peer) => boolean;
+  readonly router: Router<Peer>;
   /** Wait between an announcement and the request for the value. */
   readonly graftMs: number;
   readonly clock: Clock;
   readonly signal: AbortSignal;
-  readonly log: Log;
 }
 
 /** How long a value can be requested, and a seen id is recognised. */
@@ -34,6 +36,9 @@
 const MAX_HELD_VALUES = 4096;
 /** Requests for one missing value before the digest exchange is left to mend it. */
 const MAX_GRAFTS = 5;
+const MAX_MISSING_VALUES = 1024;
+/** Most ids in one announcement. */
+const MAX_ANNOUNCED_IDS = 256;
 
 interface HeldValue {
   readonly body: GossipBody;
@@ -43,23 +48,26 @@
 
 /** Creates the broadcast of one daemon. */
 export function createBroadcast(options: BroadcastOptions): Broadcast {
-  const { listPeers, clock } = options;
+  const { listPeers, router, clock } = options;
+  const receivers = new Map<string, ReceiveBody>();
   const held = new Map<string, HeldValue>();
   /** Peers to which values are announced only; they are off the tree. */
   const lazy = new WeakSet<Peer>();
   /** Announcers of each missing value, in the order in which they announced. */
   const missing = new Map<string, Peer[]>();
+  let maxHops = 0;
 
   function hold(id: string, body: GossipBody, hops: number): void {
     held.set(id, { body, hops, atMs: clock() });
     missing.delete(id);
+    maxHops = Math.max(maxHops, hops);
   }
 
-  function forward(id: string, body: GossipBody, hops: number, source?: Peer): void {
+  function forward(id: string, { body, hops }: Omit<HeldValue, 'atMs'>, source?: Peer): void {
     for (const peer of listPeers()) {
       if (peer === source) continue;
       if (lazy.has(peer)) peer.announcements.push(id);
-      else peer.connection.send({ type: 'gossip', id, hops, body });
+      else peer.send({ type: 'gossip', id, hops: hops + 1, body });
     }
   }
 
@@ -71,68 +79,72 @@
       const peer = announcers.shift();
       if (peer === undefined) break;
       lazy.delete(peer);
-      peer.connection.send({ type: 'graft', ids: [id] });
+      peer.send({ type: 'graft', ids: [id] });
     }
     missing.delete(id);
   }
 
+  function receiveGossip(peer: Peer, { id, hops, body }: GossipMessage): void {
+    if (held.has(id)) {
+      lazy.add(peer);
+      peer.send({ type: 'prune' });
+      return;
+    }
+    hold(id, body, hops);
+    lazy.delete(peer);
+    const isNews = receivers.get(String(body.kind))?.(body, peer) ?? false;
+    if (isNews) forward(id, { body, hops }, peer);
+  }
+
+  function receiveAnnouncement(peer: Peer, id: string): void {
+    if (held.has(id)) return;
+    const announcers = missing.get(id);
+    if (announcers !== undefined) announcers.push(peer);
+    else if (missing.size < MAX_MISSING_VALUES) {
+      missing.set(id, [peer]);
+      void fetchMissing(id);
+    }
+  }
+
+  function answerGraft(peer: Peer, id: string): void {
+    const value = held.get(id);
+    if (value === undefined) return;
+    peer.send({ type: 'gossip', id, hops: value.hops + 1, body: value.body });
+  }
+
+  router.handle('gossip', receiveGossip);
+  router.handle('ihave', (peer, { ids }) => ids.forEach((id) => receiveAnnouncement(peer, id)));
+  router.handle('graft', (peer, { ids }) => {
+    lazy.delete(peer);
+    ids.forEach((id) => answerGraft(peer, id));
+  });
+  router.handle('prune', (peer) => {
+    lazy.add(peer);
+  });
+
   return {
     publish: (id, body) => {
       if (held.has(id)) return;
       hold(id, body, 0);
-      forward(id, body, 1);
-    },
-    handleGossip: (peer, { id, hops, body }) => {
-      if (held.has(id)) {
-        lazy.add(peer);
-        peer.connection.send({ type: 'prune' });
-        return;
-      }
-      hold(id, body, hops);
-      lazy.delete(peer);
-      if (options.deliver(body, peer)) forward(id, body, hops + 1, peer);
-    },
-    handleIHave: (peer, { ids }) => {
-      ids.forEach((id) => {
-        if (held.has(id)) return;
-        const announcers = missing.get(id);
-        if (announcers !== undefined) {
-          announcers.push(peer);
-          return;
-        }
-        missing.set(id, [peer]);
-        void fetchMissing(id);
-      });
-    },
-    handleGraft: (peer, { ids }) => {
-      lazy.delete(peer);
-      ids.forEach((id) => {
-        const value = held.get(id);
-        if (value === undefined) return;
-        peer.connection.send({ type: 'gossip', id, hops: value.hops + 1, body: value.body });
-      });
-    },
-    handlePrune: (peer) => {
-      lazy.add(peer);
+      forward(id, { body, hops: 0 });
     },
+    receive: (kind, receiveBody) => receivers.set(kind, receiveBody),
     flush: () => {
       for (const peer of listPeers()) announceHeld(peer);
       discardExpired(held, clock() - RETENTION_MS);
     },
+    getMaxHops: () => maxHops,
   };
 }
 
-/** Most ids in one announcement. */
-const MAX_ANNOUNCED_IDS = 256;
-
 function announceHeld(peer: Peer): void {
   while (peer.announcements.length > 0) {
     const ids = peer.announcements.splice(0, MAX_ANNOUNCED_IDS);
-    peer.connection.send({ type: 'ihave', ids });
+    peer.send({ type: 'ihave', ids });
   }
 }
 
-/** Entries stand in order of arrival, so the walk ends at the first that stays. */
+/** Values stand in order of arrival, so the walk ends at the first that stays. */
 function discardExpired(held: Map<string, HeldValue>, beforeMs: number): void {
   for (const [id, value] of held) {
     if (value.atMs >= beforeMs && held.size <= MAX_HELD_VALUES) return;
--- /dev/null
+++ b/packages/mesh/src/CactusdealMeshLinkSession.ts
@@ -0,0 +1,95 @@
+import { type Clock, type Random, waitMs } from '@cactusdeal/shared';
+import type { MeshConnection } from './CactusdealMeshConnection.js';
+import type { Exchange } from './CactusdealMeshExchange.js';
+import type { MeshMessage } from './CactusdealMeshMessages.js';
+import type { Correspondent } from './CactusdealMeshPeer.js';
+import type { RemoteView } from './CactusdealMeshRemoteView.js';
+import { createRouter, type Router } from './CactusdealMeshRouter.js';
+import { computeSummariesHash } from './CactusdealMeshSummaries.js';
+import type { SummarySource } from './CactusdealMeshSummarySource.js';
+import type { MeshState } from './CactusdealMeshTypes.js';
+
+/** One open link to a reader candidate of another data centre. */
+export interface LinkSession extends Correspondent {
+  readonly dataCentre: string;
+  readonly connection: MeshConnection;
+  /** By the monotonic clock. */
+  lastReceivedMs: number;
+  /** Consecutive digests in which the peer held other services of this data centre than there are. */
+  mismatchedDigests: number;
+}
+
+/** What the messages of links need from their surroundings. */
+export interface LinkMessageOptions {
+  readonly state: MeshState;
+  readonly exchange: Exchange;
+  readonly view: RemoteView;
+  readonly source: SummarySource;
+  readonly listReaderAddresses: () => readonly string[];
+  /** Remembers where the other data centre's readers are. */
+  readonly onReaders: (dataCentre: string, addresses: readonly string[]) => void;
+  readonly digestMs: number;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly signal: AbortSignal;
+}
+
+/** Digests with other services than stated, after which all are stated again. */
+const MAX_MISMATCHED_DIGESTS = 2;
+/** Part of the digest time that the platform has to deliver a version before a peer is asked. */
+const PULL_GRACE_RATIO = 0.25;
+/** Time in which only one peer is asked for missing versions. */
+const PULL_INTERVAL_RATIO = 0.5;
+
+/** Creates what a reader candidate states to one of another data centre. */
+export function createLinkDigest(options: LinkMessageOptions, dataCentre: string): MeshMessage {
+  const { state, view } = options;
+  return {
+    type: 'link-digest',
+    version: state.getVersion(),
+    headVersion: state.getHeadVersion(),
+    summaryStampMs: view.getStamp(dataCentre),
+    summaryHash: computeSummariesHash(view.listHeld(dataCentre)),
+    readers: [...options.listReaderAddresses()],
+  };
+}
+
+/** Creates the router of the messages that links carry. */
+export function createLinkRouter(options: LinkMessageOptions): Router<LinkSession> {
+  const { state, exchange, view, source } = options;
+  const router = createRouter<LinkSession>();
+  let pulledAtMs = -Infinity;
+
+  /** Asks for what the platform should have delivered meanwhile, one peer at a time. */
+  async function fetchMissing(session: LinkSession, version: number): Promise<void> {
+    const graceMs = options.digestMs * PULL_GRACE_RATIO * (1 + options.random());
+    await waitMs(graceMs, options.signal);
+    const isRecent = options.clock() - pulledAtMs < options.digestMs * PULL_INTERVAL_RATIO;
+    if (state.getHeadVersion() >= version || isRecent) return;
+    pulledAtMs = options.clock();
+    session.send({ type: 'pull', headVersion: state.getHeadVersion() });
+  }
+
+  function checkSummaries(session: LinkSession, hash: string, stampMs: number): void {
+    source.raiseStamp(stampMs);
+    const isMatch = hash === source.computeHash();
+    const mismatchedDigests = isMatch ? 0 : session.mismatchedDigests + 1;
+    Object.assign(session, { mismatchedDigests });
+    if (mismatchedDigests < MAX_MISMATCHED_DIGESTS) return;
+    Object.assign(session, { mismatchedDigests: 0 });
+    session.send(source.createFull());
+  }
+
+  exchange.register(router);
+  router.handle('pull', (session, { headVersion }) => exchange.sendMissing(session, headVersion));
+  router.handle('summaries', ({ dataCentre }, message) => {
+    const own = message.summaries.filter((summary) => summary.dataCentre === dataCentre);
+    view.takeSummaries(dataCentre, message.stampMs, own, message.isFull);
+  });
+  router.handle('link-digest', (session, message) => {
+    options.onReaders(session.dataCentre, message.readers);
+    checkSummaries(session, message.summaryHash, message.summaryStampMs);
+    if (message.version > state.getHeadVersion()) void fetchMissing(session, message.version);
+  });
+  return router;
+}
--- /dev/null
+++ b/packages/mesh/src/CactusdealMeshLinks.ts
@@ -0,0 +1,223 @@
+import { type Log, pickRandom, waitMs } from '@cactusdeal/shared';
+import { createMeshFailure, MeshFailureKind } from './CactusdealMeshFailure.js';
+import {
+  type Handshake,
+  type Introduced,
+  refuseConnection,
+  toMeshFailure,
+} from './CactusdealMeshHandshake.js';
+import {
+  createLinkDigest,
+  createLinkRouter,
+  type LinkMessageOptions,
+  type LinkSession,
+} from './CactusdealMeshLinkSession.js';
+import { toLogFields } from './CactusdealMeshOverlay.js';
+
+/** Links of a reader candidate to reader candidates of the other data centres. */
+export interface Links {
+  /** Takes or refuses a link that another data centre opened. */
+  admit(introduced: Introduced): void;
+  /** Tells the linked data centres of a new version. */
+  announceVersion(): void;
+  /** Runs until the signal aborts. */
+  run(): Promise<void>;
+  /** Number of open links. */
+  getCount(): number;
+  close(): void;
+}
+
+/** What links need from their surroundings. */
+export interface LinkOptions extends LinkMessageOptions {
+  readonly dataCentre: string;
+  readonly handshake: Handshake;
+  readonly isCandidate: () => boolean;
+  readonly remoteContacts: Readonly<Record<string, readonly string[]>>;
+  readonly findRemoteReaders: (dataCentre: string) => Promise<readonly string[]>;
+  readonly readersPerDataCentre: number;
+  readonly heartbeatMs: number;
+  readonly log: Log;
+}
+
+/** Silence after which a link is given up, in digests. */
+const SILENT_DIGESTS = 3;
+/** Shortest time between two statements of changed services. */
+const SUMMARY_INTERVAL_MS = 1000;
+/** Shortest time between two announcements of a version. */
+const ANNOUNCE_INTERVAL_MS = 100;
+const ADDRESSES_PER_ROUND = 4;
+const MAX_BACKOFF_DIGESTS = 8;
+
+/** Creates the links of one daemon, none of them open. */
+export function createLinks(options: LinkOptions): Links {
+  const { handshake, view, source, random, signal, log, clock } = options;
+  const sessions = new Set<LinkSession>();
+  const knownReaders = new Map<string, readonly string[]>();
+  const seeking = new Set<string>();
+  const router = createLinkRouter({
+    ...options,
+    onReaders: (dataCentre, addresses) => {
+      knownReaders.set(dataCentre, addresses);
+      options.onReaders(dataCentre, addresses);
+    },
+  });
+  let summariesAtMs = -Infinity;
+  let isAnnouncing = false;
+
+  function listSessions(dataCentre: string): LinkSession[] {
+    return [...sessions].filter((session) => session.dataCentre === dataCentre);
+  }
+
+  function add({ connection, hello }: Introduced): void {
+    listSessions(hello.dataCentre)
+      .filter((session) => session.id === hello.id)
+      .forEach((session) => session.connection.destroy());
+    const { id, dataCentre } = hello;
+    const { send } = connection;
+    const lastReceivedMs = clock();
+    const session = { id, dataCentre, connection, send, lastReceivedMs, mismatchedDigests: 0 };
+    sessions.add(session);
+    view.setLink(dataCentre, true);
+    void runSession(session);
+    send(createLinkDigest(options, dataCentre));
+    send(source.createFull());
+    log.info('mesh-link-up', { peer: id, remoteDataCentre: dataCentre });
+  }
+
+  async function runSession(session: LinkSession): Promise<void> {
+    const { connection, dataCentre } = session;
+    try {
+      for (;;) {
+        const message = await connection.receive();
+        if (message === undefined || message.type === 'refusal') break;
+        Object.assign(session, { lastReceivedMs: clock() });
+        router.dispatch(session, message);
+      }
+    } catch (caught) {
+      const failure = toMeshFailure(caught);
+      log.warn('mesh-link-failed', { peer: session.id, ...toLogFields(failure) });
+      refuseConnection(connection, failure);
+    }
+    connection.close();
+    sessions.delete(session);
+    if (!signal.aborted && listSessions(dataCentre).length === 0) view.setLink(dataCentre, false);
+    log.info('mesh-link-down', { peer: session.id, remoteDataCentre: dataCentre });
+  }
+
+  /** Tries addresses, following the readers that a refusal names; answers whether a link stands. */
+  async function tryAll(dataCentre: string, addresses: readonly string[]): Promise<boolean> {
+    const queue = [...addresses];
+    const tried = new Set<string>();
+    while (queue.length > 0 && tried.size < 2 * ADDRESSES_PER_ROUND && !signal.aborted) {
+      const address = queue.shift() as string;
+      if (tried.has(address)) continue;
+      tried.add(address);
+      try {
+        add(await handshake.dial(address, 'link', dataCentre));
+        return true;
+      } catch (caught) {
+        queue.unshift(...(toMeshFailure(caught).contacts ?? []));
+      }
+    }
+    return false;
+  }
+
+  async function connect(dataCentre: string): Promise<boolean> {
+    const remembered = pickRandom(knownReaders.get(dataCentre) ?? [], ADDRESSES_PER_ROUND, random);
+    const contacts = options.remoteContacts[dataCentre] ?? [];
+    const known = [...remembered, ...pickRandom(contacts, ADDRESSES_PER_ROUND, random)];
+    if (await tryAll(dataCentre, known)) return true;
+    const found = await options.findRemoteReaders(dataCentre).catch(() => []);
+    return tryAll(dataCentre, found);
+  }
+
+  /** Opens a link; the data centre whose name sorts first dials, the other only when it must. */
+  async function connectUntilLinked(dataCentre: string): Promise<void> {
+    if (options.dataCentre > dataCentre) await waitMs(2 * options.digestMs, signal);
+    let backoffDigests = 0.5;
+    while (!signal.aborted && options.isCandidate() && listSessions(dataCentre).length === 0) {
+      if (await connect(dataCentre)) return;
+      await waitMs(random() * backoffDigests * options.digestMs, signal);
+      backoffDigests = Math.min(MAX_BACKOFF_DIGESTS, backoffDigests * 2);
+    }
+  }
+
+  function startSeeking(dataCentre: string): void {
+    if (seeking.has(dataCentre) || listSessions(dataCentre).length > 0) return;
+    seeking.add(dataCentre);
+    void connectUntilLinked(dataCentre).finally(() => seeking.delete(dataCentre));
+  }
+
+  function sendSummaries(): void {
+    if (sessions.size === 0 || clock() - summariesAtMs < SUMMARY_INTERVAL_MS) return;
+    const changes = source.takeChanges();
+    if (changes === undefined) return;
+    summariesAtMs = clock();
+    sessions.forEach((session) => session.send(changes));
+  }
+
+  function sendDigests(): void {
+    sessions.forEach((session) => session.send(createLinkDigest(options, session.dataCentre)));
+  }
+
+  function closeSilent(): void {
+    const beforeMs = clock() - SILENT_DIGESTS * options.digestMs;
+    sessions.forEach((session) => {
+      if (session.lastReceivedMs < beforeMs) session.connection.destroy();
+    });
+  }
+
+  async function runSummaries(): Promise<void> {
+    while (!signal.aborted) {
+      await waitMs(options.heartbeatMs / 4, signal);
+      sendSummaries();
+    }
+  }
+
+  function findRefusal({ hello }: Introduced): string | undefined {
+    if (!options.isCandidate()) return 'no reader candidate';
+    const limit = 2 * options.readersPerDataCentre;
+    const isNew = listSessions(hello.dataCentre).every((session) => session.id !== hello.id);
+    return isNew && listSessions(hello.dataCentre).length >= limit ? 'enough links' : undefined;
+  }
+
+  return {
+    admit: (introduced) => {
+      const refusal = findRefusal(introduced);
+      if (refusal !== undefined) {
+        const readers = options.isCandidate() ? [] : options.listReaderAddresses();
+        refuseConnection(
+          introduced.connection,
+          createMeshFailure(MeshFailureKind.NotReader, refusal, readers),
+        );
+        return;
+      }
+      introduced.connection.send(handshake.createHello('link'));
+      add(introduced);
+    },
+    announceVersion: () => {
+      if (isAnnouncing || sessions.size === 0) return;
+      isAnnouncing = true;
+      void waitMs(ANNOUNCE_INTERVAL_MS, signal).then(() => {
+        isAnnouncing = false;
+        sendDigests();
+      });
+    },
+    run: async () => {
+      void runSummaries();
+      while (!signal.aborted) {
+        const dataCentres = new Set([
+          ...Object.keys(options.remoteContacts),
+          ...knownReaders.keys(),
+        ]);
+        if (options.isCandidate()) dataCentres.forEach(startSeeking);
+        else sessions.forEach((session) => session.connection.close());
+        closeSilent();
+        sendDigests();
+        await waitMs(options.digestMs, signal);
+      }
+    },
+    getCount: () => sessions.size,
+    close: () => sessions.forEach((session) => session.connection.close()),
+  };
+}
--- a/packages/mesh/src/CactusdealMeshMembers.ts
+++ b/packages/mesh/src/CactusdealMeshMembers.ts
@@ -1,6 +1,6 @@
 import type { MemberRecord, Worker } from '@cactusdeal/schema';
 import { type Channel, type Clock, createChannel } from '@cactusdeal/shared';
-import { hashText } from './CactusdealMeshHash.js';
+import { computeVersion, type HashedVersion, isLater } from './CactusdealMeshTable.js';
 
 /** What merging a record did. */
 export const MergeOutcome = {
@@ -21,21 +21,20 @@
   list(): readonly MemberRecord[];
   /** Alive and suspect members other than this daemon. */
   listPresent(): readonly MemberRecord[];
+  listAlive(): readonly MemberRecord[];
+  /** Members that were suspect before the given time, by the table's clock. */
+  listSuspectsBefore(timeMs: number): readonly MemberRecord[];
   merge(record: MemberRecord): MergeOutcome;
   setWorker(worker: Worker | undefined): void;
-  setSelfState(state: MemberRecord['state']): void;
-  /** Hash of each of `BUCKET_COUNT` parts of the table; equal tables have equal hashes. */
-  getBucketHashes(): readonly number[];
-  /** Records of a part that may be handed on. */
-  listBucket(index: number): readonly MemberRecord[];
-  /** Drops dead and left members that were so for longer than the retention. */
+  /** States that this daemon leaves. */
+  leave(): void;
+  /** Versions of the records that may be handed on. */
+  listVersions(): Iterable<HashedVersion>;
+  /** Forgets dead and left members that were so for longer than the retention. */
   discardExpired(): void;
   readonly changes: Channel<MemberRecord>;
 }
 
-/** Parts into which the table is split for comparison with a peer's. */
-export const BUCKET_COUNT = 64;
-
 /** A later state of one incarnation replaces an earlier one. */
 const STATE_ORDER: Readonly<Record<MemberRecord['state'], number>> = {
   alive: 0,
@@ -45,20 +44,25 @@
 };
 
 interface Row {
-  record: MemberRecord;
-  /** When a dead or left record arrived; it is handed on for the first half of the retention. */
-  goneAtMs: number;
-  hash: number;
+  readonly record: MemberRecord;
+  readonly version: HashedVersion;
+  readonly changedAtMs: number;
+  /** A gone member that was never known here is remembered, but not handed on. */
+  readonly isHandedOn: boolean;
+}
+
+/** The version of a record: its incarnation, then its state (SWIM, Das et al. 2002). */
+export function computeRecordVersion(record: MemberRecord): HashedVersion {
+  return computeVersion(record.id, record.incarnation, STATE_ORDER[record.state]);
 }
 
-/**
- * Says whether `next` replaces `known`: the higher incarnation does, and within one incarnation the
- * later state (SWIM, Das et al. 2002).
- */
+/** Says whether `next` replaces `known`. */
 export function isNewer(next: MemberRecord, known: MemberRecord | undefined): boolean {
   if (known === undefined) return true;
-  if (next.incarnation !== known.incarnation) return next.incarnation > known.incarnation;
-  return STATE_ORDER[next.state] > STATE_ORDER[known.state];
+  return isLater(
+    { stamp: next.incarnation, order: STATE_ORDER[next.state] },
+    { stamp: known.incarnation, order: STATE_ORDER[known.state] },
+  );
 }
 
 /** Creates a table that holds only the own record. Gone members are kept for `retentionMs`. */
@@ -68,26 +72,17 @@
   clock: Clock,
 ): MemberTable {
   const rows = new Map<string, Row>();
-  const buckets = Array.from({ length: BUCKET_COUNT }, () => new Map<string, Row>());
   const changes = createChannel<MemberRecord>();
   let own = self;
   recordRow(self);
 
   function recordRow(record: MemberRecord): void {
-    const isNews = rows.has(record.id);
-    const isGone = record.state === 'dead' || record.state === 'left';
-    // A gone member heard of for the first time is old news: remembered, but not handed on.
-    const goneAtMs = isNews ? clock() : clock() - retentionMs / 2;
-    const row = { record, goneAtMs: isGone ? goneAtMs : Infinity, hash: hashRecord(record) };
-    rows.set(record.id, row);
-    buckets[findBucket(record.id)]?.set(record.id, row);
+    const isHandedOn = rows.has(record.id) || !isGone(record);
+    const version = computeRecordVersion(record);
+    rows.set(record.id, { record, version, changedAtMs: clock(), isHandedOn });
     changes.push(record);
   }
 
-  function isHandedOn(row: Row): boolean {
-    return row.goneAtMs === Infinity || clock() - row.goneAtMs < retentionMs / 2;
-  }
-
   function replaceSelf(change: Partial<MemberRecord>, minimum: number): void {
     const incarnation = Math.max(own.incarnation, minimum) + 1;
     const { worker, ...rest } = { ...own, ...change, incarnation };
@@ -96,18 +91,27 @@
   }
 
   function mergeSelf(record: MemberRecord): MergeOutcome {
-    if (!isNewer(record, own)) return MergeOutcome.Stale;
-    if (own.state === 'left') return MergeOutcome.Stale;
+    if (!isNewer(record, own) || own.state === 'left') return MergeOutcome.Stale;
     replaceSelf({}, record.incarnation);
     return MergeOutcome.Refuted;
   }
 
+  function isInComparison({ record, changedAtMs, isHandedOn }: Row): boolean {
+    return isHandedOn && (!isGone(record) || clock() - changedAtMs < retentionMs / 2);
+  }
+
+  function selectRecords(test: (row: Row) => boolean): MemberRecord[] {
+    return [...rows.values()].filter(test).map((row) => row.record);
+  }
+
   return {
     getSelf: () => own,
     get: (id) => rows.get(id)?.record,
-    list: () => [...rows.values()].map((row) => row.record),
-    listPresent: () =>
-      [...rows.values()].map((row) => row.record).filter((record) => isPresent(record, own.id)),
+    list: () => selectRecords(() => true),
+    listPresent: () => selectRecords(({ record }) => record !== own && !isGone(record)),
+    listAlive: () => selectRecords(({ record }) => record !== own && record.state === 'alive'),
+    listSuspectsBefore: (timeMs) =>
+      selectRecords((row) => row.record.state === 'suspect' && row.changedAtMs < timeMs),
     merge: (record) => {
       if (record.id === own.id) return mergeSelf(record);
       if (!isNewer(record, rows.get(record.id)?.record)) return MergeOutcome.Stale;
@@ -115,37 +119,17 @@
       return MergeOutcome.Changed;
     },
     setWorker: (worker) => replaceSelf({ worker } as Partial<MemberRecord>, 0),
-    setSelfState: (state) => replaceSelf({ state }, 0),
-    getBucketHashes: () => buckets.map((bucket) => hashBucket(bucket, isHandedOn)),
-    listBucket: (index) =>
-      [...(buckets[index]?.values() ?? [])].filter(isHandedOn).map((row) => row.record),
-    discardExpired: () => {
-      const expired = [...rows.values()].filter((row) => clock() - row.goneAtMs >= retentionMs);
-      expired.forEach(({ record }) => {
-        rows.delete(record.id);
-        buckets[findBucket(record.id)]?.delete(record.id);
-      });
-    },
+    leave: () => replaceSelf({ state: 'left' }, 0),
+    listVersions: () => [...rows.values()].filter(isInComparison).map((row) => row.version),
+    discardExpired: () =>
+      rows.forEach(({ record, changedAtMs }) => {
+        if (isGone(record) && clock() - changedAtMs >= retentionMs) rows.delete(record.id);
+      }),
     changes,
   };
 }
 
-function isPresent(record: MemberRecord, ownId: string): boolean {
-  return record.id !== ownId && (record.state === 'alive' || record.state === 'suspect');
-}
-
-function findBucket(id: string): number {
-  return hashText(id) % BUCKET_COUNT;
-}
-
-function hashRecord(record: MemberRecord): number {
-  return hashText(`${record.id} ${record.incarnation} ${record.state}`);
-}
-
-function hashBucket(bucket: ReadonlyMap<string, Row>, isCounted: (row: Row) => boolean): number {
-  let sum = 0;
-  bucket.forEach((row) => {
-    if (isCounted(row)) sum = (sum + row.hash) % Number.MAX_SAFE_INTEGER;
-  });
-  return sum;
+/** Says whether the member is known to be no longer there. */
+export function isGone(record: MemberRecord): boolean {
+  return record.state === 'dead' || record.state === 'left';
 }
--- a/packages/mesh/src/CactusdealMeshMessages.ts
+++ b/packages/mesh/src/CactusdealMeshMessages.ts
@@ -1,7 +1,7 @@
 import {
   createValidator,
   type BucketHashesMessage,
-  type BucketMembersMessage,
+  type BucketItemsMessage,
   type DigestMessage,
   type EntriesMessage,
   type GossipMessage,
@@ -9,12 +9,15 @@
   type HeartbeatMessage,
   type HelloMessage,
   type IHaveMessage,
+  type ItemsMessage,
+  type LinkDigestMessage,
   type ProbeMessage,
   type ProbeAnswerMessage,
   type PruneMessage,
-  type RecordsMessage,
+  type PullMessage,
   type RefusalMessage,
   type SnapshotMessage,
+  type SummariesMessage,
   type SurveyMessage,
   type SurveyAnswerMessage,
   type Validator,
@@ -28,7 +31,7 @@
 /** Every message that travels between two daemons. */
 export type MeshMessage =
   | BucketHashesMessage
-  | BucketMembersMessage
+  | BucketItemsMessage
   | DigestMessage
   | EntriesMessage
   | GossipMessage
@@ -36,18 +39,21 @@
   | HeartbeatMessage
   | HelloMessage
   | IHaveMessage
+  | ItemsMessage
+  | LinkDigestMessage
   | ProbeMessage
   | ProbeAnswerMessage
   | PruneMessage
-  | RecordsMessage
+  | PullMessage
   | RefusalMessage
   | SnapshotMessage
+  | SummariesMessage
   | SurveyMessage
   | SurveyAnswerMessage;
 
 const VALIDATORS: ReadonlyMap<string, Validator<MeshMessage>> = new Map([
   ['bucket-hashes', createMessageValidator('BucketHashesMessage')],
-  ['bucket-members', createMessageValidator('BucketMembersMessage')],
+  ['bucket-items', createMessageValidator('BucketItemsMessage')],
   ['digest', createMessageValidator('DigestMessage')],
   ['entries', createMessageValidator('EntriesMessage')],
   ['gossip', createMessageValidator('GossipMessage')],
@@ -55,12 +61,15 @@
   ['heartbeat', createMessageValidator('HeartbeatMessage')],
   ['hello', createMessageValidator('HelloMessage')],
   ['ihave', createMessageValidator('IHaveMessage')],
+  ['items', createMessageValidator('ItemsMessage')],
+  ['link-digest', createMessageValidator('LinkDigestMessage')],
   ['probe', createMessageValidator('ProbeMessage')],
   ['probe-answer', createMessageValidator('ProbeAnswerMessage')],
   ['prune', createMessageValidator('PruneMessage')],
-  ['records', createMessageValidator('RecordsMessage')],
+  ['pull', createMessageValidator('PullMessage')],
   ['refusal', createMessageValidator('RefusalMessage')],
   ['snapshot', createMessageValidator('SnapshotMessage')],
+  ['summaries', createMessageValidator('SummariesMessage')],
   ['survey', createMessageValidator('SurveyMessage')],
   ['survey-answer', createMessageValidator('SurveyAnswerMessage')],
 ]);
@@ -77,11 +86,19 @@
     const message = `message of unknown type ${String(type).slice(0, 40)}`;
     throw new FailureError(createMeshFailure(MeshFailureKind.MessageUnknown, message));
   }
+  return checkValue(validate, value);
+}
+
+/**
+ * Checks a part of a message.
+ *
+ * @throws FailureError of kind FrameMalformed.
+ */
+export function checkValue<T>(validate: Validator<T>, value: unknown): T {
   return validate(value).caseOf({
-    Right: (message) => message,
+    Right: (checked) => checked,
     Left: (failure) => {
-      const message = `${type}: ${failure.message}`;
-      throw new FailureError(createMeshFailure(MeshFailureKind.FrameMalformed, message));
+      throw new FailureError(createMeshFailure(MeshFailureKind.FrameMalformed, failure.message));
     },
   });
 }
--- a/packages/mesh/src/CactusdealMeshOverlay.ts
+++ b/packages/mesh/src/CactusdealMeshOverlay.ts
@@ -8,8 +8,9 @@
   toMeshFailure,
 } from './CactusdealMeshHandshake.js';
 import type { MemberTable } from './CactusdealMeshMembers.js';
-import type { HandleMessage, Peer } from './CactusdealMeshPeer.js';
+import type { Peer } from './CactusdealMeshPeer.js';
 import type { RateLimit } from './CactusdealMeshRateLimit.js';
+import type { Router } from './CactusdealMeshRouter.js';
 
 /**
  * The active view: a bounded number of neighbours, each with one connection and one task (HyParView,
@@ -25,6 +26,7 @@
   admit(introduced: Introduced): void;
   /** Closes a neighbour's connection and says why. */
   release(peer: Peer, kind: MeshFailureKind, contacts?: readonly string[]): void;
+  observe(observer: OverlayObserver): void;
 }
 
 /** What the overlay needs from its surroundings. */
@@ -32,12 +34,15 @@
   readonly dataCentre: string;
   readonly handshake: Handshake;
   readonly members: MemberTable;
-  readonly activeDegree: number;
   readonly maxDegree: number;
   readonly joinLimit: RateLimit;
   readonly random: Random;
   readonly log: Log;
-  readonly handleMessage: HandleMessage;
+  readonly router: Router<Peer>;
+}
+
+/** Told of neighbours won and lost. */
+export interface OverlayObserver {
   readonly onPeerUp: (peer: Peer, isDialer: boolean) => void;
   /** Called when a connection ended without this daemon's doing. */
   readonly onPeerDown: (peer: Peer, failure: MeshFailure) => void;
@@ -52,6 +57,7 @@
   const peers = new Map<string, Peer>();
   /** Addresses that are being dialled. */
   const dialing = new Set<string>();
+  const observers: OverlayObserver[] = [];
 
   function add({ connection, hello }: Introduced, isDialer: boolean): void {
     const known = peers.get(hello.id);
@@ -60,16 +66,17 @@
       id: hello.id,
       address: hello.meshAddress,
       connection,
+      send: connection.send,
       lastReceivedMs: getMonotonicMs(),
       announcements: [],
     };
     peers.set(peer.id, peer);
     void runPeer(peer);
-    options.onPeerUp(peer, isDialer);
+    observers.forEach((observer) => observer.onPeerUp(peer, isDialer));
   }
 
   async function runPeer(peer: Peer): Promise<void> {
-    const failure = await readPeer(peer, options.handleMessage);
+    const failure = await readPeer(peer, options.router);
     if (isProtocolFailure(failure)) {
       log.warn('mesh-connection-refused', { peer: peer.id, ...toLogFields(failure) });
       refuseConnection(peer.connection, failure);
@@ -77,7 +84,7 @@
     peer.connection.close();
     if (peers.get(peer.id) !== peer) return;
     peers.delete(peer.id);
-    options.onPeerDown(peer, failure);
+    observers.forEach((observer) => observer.onPeerDown(peer, failure));
   }
 
   function release(peer: Peer, kind: MeshFailureKind, contacts: readonly string[] = []): void {
@@ -86,8 +93,9 @@
   }
 
   function pickContacts(): string[] {
-    const alive = members.listPresent().filter((record) => record.state === 'alive');
-    return pickRandom(alive, REFUSAL_CONTACTS, options.random).map((record) => record.meshAddress);
+    return pickRandom(members.listAlive(), REFUSAL_CONTACTS, options.random).map(
+      (record) => record.meshAddress,
+    );
   }
 
   function isCrossing({ hello }: Introduced): boolean {
@@ -108,6 +116,17 @@
     if (victim !== undefined) release(victim, MeshFailureKind.Replaced, [hello.meshAddress]);
   }
 
+  /** Neighbours may have been accepted while this connection was being made. */
+  function addDialled(introduced: Introduced): MeshFailure | undefined {
+    if (peers.size >= options.maxDegree && !peers.has(introduced.hello.id)) {
+      const failure = createMeshFailure(MeshFailureKind.Busy, 'enough neighbours by now');
+      refuseConnection(introduced.connection, failure);
+      return failure;
+    }
+    add(introduced, true);
+    return undefined;
+  }
+
   return {
     listPeers: () => peers.values(),
     getPeer: (id) => peers.get(id),
@@ -116,8 +135,7 @@
       dialing.add(address);
       try {
         const introduced = await handshake.dial(address, purpose, options.dataCentre);
-        add(introduced, true);
-        return undefined;
+        return addDialled(introduced);
       } catch (caught) {
         return toMeshFailure(caught);
       } finally {
@@ -137,6 +155,7 @@
       add(introduced, false);
     },
     release,
+    observe: (observer) => observers.push(observer),
   };
 }
 
@@ -158,7 +177,7 @@
 }
 
 /** Reads until the connection ends; answers why it did. */
-async function readPeer(peer: Peer, handleMessage: HandleMessage): Promise<MeshFailure> {
+async function readPeer(peer: Peer, router: Router<Peer>): Promise<MeshFailure> {
   try {
     for (;;) {
       const message = await peer.connection.receive();
@@ -170,7 +189,7 @@
         return createMeshFailure(kind, message.message, message.contacts);
       }
       Object.assign(peer, { lastReceivedMs: getMonotonicMs() });
-      handleMessage(peer, message);
+      router.dispatch(peer, message);
     }
   } catch (caught) {
     return toMeshFailure(caught);
--- /dev/null
+++ b/packages/mesh/src/CactusdealMeshParts.ts
@@ -0,0 +1,276 @@
+import type { MemberRecord } from '@cactusdeal/schema';
+import { type Clock, getMonotonicMs, getWallTimeMs, type Random } from '@cactusdeal/shared';
+import { type Broadcast, createBroadcast } from './CactusdealMeshBroadcast.js';
+import { createTrafficCounters, type TrafficCounters } from './CactusdealMeshConnection.js';
+import { createDetector, type Detector } from './CactusdealMeshDetector.js';
+import {
+  createDissemination,
+  type Dissemination,
+  registerDissemination,
+} from './CactusdealMeshDissemination.js';
+import { createExchange, type Exchange } from './CactusdealMeshExchange.js';
+import { createHandshake, type Handshake } from './CactusdealMeshHandshake.js';
+import { createLinks, type Links } from './CactusdealMeshLinks.js';
+import { createMemberTable, type MemberTable } from './CactusdealMeshMembers.js';
+import { createMembership, type Membership } from './CactusdealMeshMembership.js';
+import { createNotices, type Notices } from './CactusdealMeshNotices.js';
+import { MAX_DEGREE_SLACK, type MeshOptions } from './CactusdealMeshOptions.js';
+import { createOverlay, type Overlay } from './CactusdealMeshOverlay.js';
+import type { Peer } from './CactusdealMeshPeer.js';
+import { createRateLimit } from './CactusdealMeshRateLimit.js';
+import { createReaderChoice, type ReaderChoice } from './CactusdealMeshReaders.js';
+import { createRemoteView, type RemoteView } from './CactusdealMeshRemoteView.js';
+import { createRouter, type Router } from './CactusdealMeshRouter.js';
+import { createSeeker, type Seeker } from './CactusdealMeshSeeker.js';
+import { createSummarySource } from './CactusdealMeshSummarySource.js';
+import { createSurveys, type Surveys } from './CactusdealMeshSurvey.js';
+import { createVisits, type Visits } from './CactusdealMeshVisits.js';
+
+/** Joins that a daemon accepts. */
+const JOINS_PER_SECOND = 20;
+const JOIN_BURST = 10;
+/** How long gone members are remembered, in heartbeats. */
+const RETENTION_HEARTBEATS = 600;
+/** Longest wait for a connection or a hello, in heartbeats, but never under the minimum. */
+const PROBE_HEARTBEATS = 1.5;
+const MIN_PROBE_MS = 250;
+/** Time that a suspect has to refute, in heartbeats. */
+const SUSPICION_HEARTBEATS = 4;
+/** Digest times after which the services of a data centre without a link are no longer believed. */
+const EXPIRY_DIGESTS = 3;
+const VISIT_MS = 10_000;
+
+/** Everything that one daemon's mesh consists of. */
+export interface MeshParts {
+  readonly options: MeshOptions;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly signal: AbortSignal;
+  readonly counters: Readonly<Record<'local' | 'remote', TrafficCounters>>;
+  readonly members: MemberTable;
+  readonly handshake: Handshake;
+  readonly router: Router<Peer>;
+  readonly overlay: Overlay;
+  readonly broadcast: Broadcast;
+  readonly membership: Membership;
+  readonly view: RemoteView;
+  readonly notices: Notices;
+  readonly exchange: Exchange;
+  readonly dissemination: Dissemination;
+  readonly surveys: Surveys;
+  readonly visits: Visits;
+  readonly detector: Detector;
+  readonly seeker: Seeker;
+  readonly readers: ReaderChoice;
+  readonly links: Links;
+}
+
+/** The parts without which no other can be made. */
+type CoreParts = Pick<
+  MeshParts,
+  | 'options'
+  | 'clock'
+  | 'random'
+  | 'signal'
+  | 'counters'
+  | 'members'
+  | 'handshake'
+  | 'router'
+  | 'overlay'
+  | 'broadcast'
+>;
+
+type SharedParts = CoreParts &
+  Pick<MeshParts, 'membership' | 'view' | 'notices' | 'exchange' | 'dissemination'>;
+
+/** Wires the parts of one daemon, whose listener is bound to `meshAddress`; starts nothing. */
+export function createParts(
+  options: MeshOptions,
+  meshAddress: string,
+  signal: AbortSignal,
+): MeshParts {
+  const shared = createSharedParts(createCoreParts(options, meshAddress, signal));
+  const { members, router, overlay } = shared;
+  const surveys = createSurveys({
+    memberId: options.id,
+    state: options.state,
+    listPeers: overlay.listPeers,
+    router,
+    clock: getMonotonicMs,
+    signal,
+  });
+  const { visits, detector } = createWatch(shared);
+  const seeker = createSeeker({
+    overlay,
+    members,
+    activeDegree: options.activeDegree,
+    contacts: options.contacts,
+    findContacts: options.findContacts ?? findNone,
+    heartbeatMs: options.heartbeatMs,
+    random: shared.random,
+    signal,
+  });
+  const readers = createReaderChoice(members, options.readersPerDataCentre);
+  const links = createLinkPart(shared, readers);
+  return { ...shared, surveys, visits, detector, seeker, readers, links };
+}
+
+function createCoreParts(
+  options: MeshOptions,
+  meshAddress: string,
+  signal: AbortSignal,
+): CoreParts {
+  const clock = options.clock ?? getWallTimeMs;
+  const random = options.random ?? Math.random;
+  const { activeDegree, heartbeatMs } = options;
+  const counters = { local: createTrafficCounters(), remote: createTrafficCounters() };
+  const self = createOwnRecord(options, meshAddress, clock());
+  const members = createMemberTable(self, RETENTION_HEARTBEATS * heartbeatMs, clock);
+  const handshake = createHandshake({
+    cluster: options.cluster,
+    getSelf: members.getSelf,
+    timeoutMs: getProbeTimeoutMs(options),
+    counters,
+  });
+  const router = createRouter<Peer>();
+  const overlay = createOverlay({
+    dataCentre: options.dataCentre,
+    handshake,
+    members,
+    maxDegree: activeDegree + MAX_DEGREE_SLACK,
+    joinLimit: createRateLimit(JOINS_PER_SECOND, JOIN_BURST, getMonotonicMs),
+    random,
+    log: options.log,
+    router,
+  });
+  const broadcast = createBroadcast({
+    listPeers: overlay.listPeers,
+    router,
+    graftMs: heartbeatMs / 2,
+    clock: getMonotonicMs,
+    signal,
+  });
+  router.handle('heartbeat', () => {});
+  return {
+    options,
+    clock,
+    random,
+    signal,
+    counters,
+    members,
+    handshake,
+    router,
+    overlay,
+    broadcast,
+  };
+}
+
+function createSharedParts(core: CoreParts): SharedParts {
+  const { options, members, broadcast, overlay, clock } = core;
+  const membership = createMembership({
+    dataCentre: options.dataCentre,
+    members,
+    broadcast,
+    overlay,
+  });
+  const view = createRemoteView({
+    memberId: options.id,
+    members,
+    broadcast,
+    clock,
+    expiryMs: EXPIRY_DIGESTS * options.digestMs,
+  });
+  const dissemination = createDissemination({ broadcast, overlay });
+  const exchange = createExchange({
+    state: options.state,
+    tables: { members: membership.table, summaries: view.table },
+    clock: getMonotonicMs,
+    wallClock: clock,
+    snapshotIntervalMs: options.digestMs,
+    onEntry: dissemination.publishEntry,
+    onSnapshot: () => dissemination.announceVersion(exchange),
+  });
+  exchange.register(core.router);
+  registerDissemination({ broadcast, exchange, dissemination, state: options.state });
+  const notices = createNotices(broadcast, clock);
+  return { ...core, membership, view, notices, exchange, dissemination };
+}
+
+function createWatch(shared: SharedParts): Pick<MeshParts, 'visits' | 'detector'> {
+  const { options, members, random, signal } = shared;
+  const visits = createVisits({
+    dataCentre: options.dataCentre,
+    handshake: shared.handshake,
+    members,
+    exchange: shared.exchange,
+    contacts: options.contacts,
+    digestMs: options.digestMs,
+    visitMs: VISIT_MS,
+    random,
+    signal,
+    onUnreachable: (memberId) => detector.investigate(memberId),
+  });
+  const detector = createDetector({
+    members,
+    membership: shared.membership,
+    overlay: shared.overlay,
+    router: shared.router,
+    probe: visits.probe,
+    probeTimeoutMs: getProbeTimeoutMs(options),
+    suspicionMs: SUSPICION_HEARTBEATS * options.heartbeatMs,
+    clock: shared.clock,
+    random,
+    signal,
+    log: options.log,
+  });
+  return { visits, detector };
+}
+
+function createLinkPart(shared: SharedParts, readers: ReaderChoice): Links {
+  const { options, clock, members } = shared;
+  return createLinks({
+    dataCentre: options.dataCentre,
+    state: options.state,
+    handshake: shared.handshake,
+    exchange: shared.exchange,
+    view: shared.view,
+    source: createSummarySource(options.dataCentre, members.list, clock),
+    isCandidate: () => readers.isChosen(options.id),
+    listReaderAddresses: () => readers.list().map((record) => record.meshAddress),
+    onReaders: () => {},
+    remoteContacts: options.remoteContacts,
+    findRemoteReaders: options.findRemoteReaders ?? findNone,
+    readersPerDataCentre: options.readersPerDataCentre,
+    heartbeatMs: options.heartbeatMs,
+    digestMs: options.digestMs,
+    clock: getMonotonicMs,
+    random: shared.random,
+    signal: shared.signal,
+    log: options.log,
+  });
+}
+
+function createOwnRecord(
+  options: MeshOptions,
+  meshAddress: string,
+  incarnation: number,
+): MemberRecord {
+  const { id, dataCentre, callsAddress, adminAddress } = options;
+  return {
+    id,
+    dataCentre,
+    incarnation,
+    meshAddress,
+    callsAddress,
+    adminAddress,
+    state: 'alive',
+  };
+}
+
+function getProbeTimeoutMs({ heartbeatMs }: MeshOptions): number {
+  return Math.max(MIN_PROBE_MS, PROBE_HEARTBEATS * heartbeatMs);
+}
+
+function findNone(): Promise<readonly string[]> {
+  return Promise.resolve([]);
+}
--- a/packages/mesh/src/CactusdealMeshPeer.ts
+++ b/packages/mesh/src/CactusdealMeshPeer.ts
@@ -1,9 +1,14 @@
 import type { MeshConnection } from './CactusdealMeshConnection.js';
 import type { MeshMessage } from './CactusdealMeshMessages.js';
 
-/** A member of the active view: a neighbour with an open connection. */
-export interface Peer {
+/** The other end of a connection, as far as answering it needs. */
+export interface Correspondent {
   readonly id: string;
+  send(message: MeshMessage): void;
+}
+
+/** A member of the active view: a neighbour with an open connection. */
+export interface Peer extends Correspondent {
   readonly address: string;
   readonly connection: MeshConnection;
   /** By the monotonic clock. */
@@ -11,6 +16,3 @@
   /** Ids of values still to be announced to it. */
   readonly announcements: string[];
 }
-
-/** Handles one message of a peer. */
-export type HandleMessage = (peer: Peer, message: MeshMessage) => void;
--- a/packages/mesh/src/CactusdealMeshSeeker.ts
+++ b/packages/mesh/src/CactusdealMeshSeeker.ts
@@ -1,4 +1,4 @@
-import { type Log, type Random, pickRandom, waitMs } from '@cactusdeal/shared';
+import { type Random, pickRandom, waitMs } from '@cactusdeal/shared';
 import type { MemberTable } from './CactusdealMeshMembers.js';
 import type { Overlay } from './CactusdealMeshOverlay.js';
 
@@ -22,7 +22,6 @@
   readonly heartbeatMs: number;
   readonly random: Random;
   readonly signal: AbortSignal;
-  readonly log: Log;
 }
 
 /** Known members tried in one round. */
@@ -45,8 +44,10 @@
   }
 
   function listCandidates(): string[] {
-    const alive = members.listPresent().filter((record) => record.state === 'alive');
-    const addresses = alive.map((record) => record.meshAddress).filter(isWanted);
+    const addresses = members
+      .listAlive()
+      .map((record) => record.meshAddress)
+      .filter(isWanted);
     const known = pickRandom(addresses, MEMBERS_PER_ROUND, random);
     const named = hints.splice(0).filter(isWanted);
     if (overlay.getDegree() > 0) return [...new Set([...named, ...known])];
--- a/packages/mesh/src/CactusdealMeshSurvey.ts
+++ b/packages/mesh/src/CactusdealMeshSurvey.ts
@@ -1,6 +1,7 @@
 import type { SurveyAnswerMessage, SurveyMessage } from '@cactusdeal/schema';
 import { type Clock, waitMs } from '@cactusdeal/shared';
 import type { Peer } from './CactusdealMeshPeer.js';
+import type { Router } from './CactusdealMeshRouter.js';
 import type { MeshState } from './CactusdealMeshTypes.js';
 
 /** What the daemons below one point of the overlay hold. */
@@ -9,8 +10,6 @@
 /** Asks every daemon of the overlay, adding up the answers on the way back (echo, Chang 1982). */
 export interface Surveys {
   run(id: string, version: number, timeoutMs: number): Promise<SurveyTotals>;
-  handleSurvey(peer: Peer, message: SurveyMessage): void;
-  handleAnswer(peer: Peer, message: SurveyAnswerMessage): void;
   /** Counts a lost peer as having answered nothing. */
   releasePeer(peer: Peer): void;
 }
@@ -20,6 +19,7 @@
   readonly memberId: string;
   readonly state: MeshState;
   readonly listPeers: () => Iterable<Peer>;
+  readonly router: Router<Peer>;
   readonly clock: Clock;
   readonly signal: AbortSignal;
 }
@@ -52,7 +52,7 @@
     };
     sessions.set(message.id, session);
     const deadlineMs = Math.floor(message.deadlineMs * HOP_TIME_RATIO);
-    peers.forEach((peer) => peer.connection.send({ ...message, deadlineMs }));
+    peers.forEach((peer) => peer.send({ ...message, deadlineMs }));
     if (peers.length > 0) await waitMs(message.deadlineMs, session.finish.signal);
     session.waiting.clear();
     return session.totals;
@@ -70,28 +70,33 @@
     });
   }
 
+  function answerSurvey(peer: Peer, message: SurveyMessage): void {
+    discardExpired();
+    const { id } = message;
+    if (sessions.has(id)) {
+      peer.send({ type: 'survey-answer', id, ...EMPTY_TOTALS });
+      return;
+    }
+    void collect(message, peer).then((totals) =>
+      peer.send({ type: 'survey-answer', id, ...totals }),
+    );
+  }
+
+  function receiveAnswer(peer: Peer, message: SurveyAnswerMessage): void {
+    const session = sessions.get(message.id);
+    if (session === undefined || !session.waiting.has(peer)) return;
+    session.totals = addTotals(session.totals, message);
+    settle(session, peer);
+  }
+
+  options.router.handle('survey', answerSurvey);
+  options.router.handle('survey-answer', receiveAnswer);
+
   return {
     run: (id, version, timeoutMs) => {
       discardExpired();
       return collect({ type: 'survey', id, version, deadlineMs: timeoutMs });
     },
-    handleSurvey: (peer, message) => {
-      discardExpired();
-      const { id } = message;
-      if (sessions.has(id)) {
-        peer.connection.send({ type: 'survey-answer', id, ...EMPTY_TOTALS });
-        return;
-      }
-      void collect(message, peer).then((totals) =>
-        peer.connection.send({ type: 'survey-answer', id, ...totals }),
-      );
-    },
-    handleAnswer: (peer, message) => {
-      const session = sessions.get(message.id);
-      if (session === undefined || !session.waiting.has(peer)) return;
-      session.totals = addTotals(session.totals, message);
-      settle(session, peer);
-    },
     releasePeer: (peer) => sessions.forEach((session) => settle(session, peer)),
   };
 }
--- /dev/null
+++ b/packages/mesh/src/CactusdealMeshTableSync.ts
@@ -0,0 +1,92 @@
+import type {
+  BucketHashesMessage,
+  BucketItemsMessage,
+  ItemsMessage,
+  ItemVersion,
+} from '@cactusdeal/schema';
+import type { Correspondent } from './CactusdealMeshPeer.js';
+import {
+  computeBucketHashes,
+  type HashedVersion,
+  isLater,
+  type ReplicatedTable,
+} from './CactusdealMeshTable.js';
+
+const MAX_ITEMS_PER_MESSAGE = 500;
+
+/** First step: states the hash of each part of a table that differs from the peer's. */
+export function sendBucketHashes(
+  peer: Correspondent,
+  table: ReplicatedTable,
+  cutoffMs: number,
+): void {
+  const hashes = computeBucketHashes(table, cutoffMs);
+  peer.send({ type: 'bucket-hashes', table: table.name, cutoffMs, hashes });
+}
+
+/** Second step: names the items held in each part that differs. */
+export function answerHashes(
+  peer: Correspondent,
+  table: ReplicatedTable,
+  { hashes, cutoffMs }: BucketHashesMessage,
+): void {
+  const own = computeBucketHashes(table, cutoffMs);
+  const buckets = own.flatMap((hash, index) => (hash === hashes[index] ? [] : [index]));
+  const items = listInBuckets(table, cutoffMs, buckets).map(toItemVersion);
+  peer.send({ type: 'bucket-items', table: table.name, cutoffMs, buckets, items });
+}
+
+/** Third step: sends the items that the peer lacks, and asks for those lacking here. */
+export function answerItemVersions(
+  peer: Correspondent,
+  table: ReplicatedTable,
+  message: BucketItemsMessage,
+): void {
+  const theirs = new Map(message.items.map((version) => [version.key, version]));
+  const wanted = message.items.filter(table.isNews).map((version) => version.key);
+  const missing = listInBuckets(table, message.cutoffMs, message.buckets)
+    .filter((version) => isMissing(version, theirs.get(version.key)))
+    .map((version) => version.key);
+  sendItems(peer, table, missing, wanted);
+}
+
+/** Last step: takes the items over, and sends those that the peer asked for. */
+export function answerItems(
+  peer: Correspondent,
+  table: ReplicatedTable,
+  message: ItemsMessage,
+): void {
+  table.mergeItems(message.items);
+  if (message.isLast && message.wanted.length > 0) sendItems(peer, table, message.wanted, []);
+}
+
+function listInBuckets(
+  table: ReplicatedTable,
+  cutoffMs: number,
+  buckets: readonly number[],
+): HashedVersion[] {
+  const wanted = new Set(buckets);
+  return [...table.listVersions(cutoffMs)].filter((version) => wanted.has(version.bucket));
+}
+
+function isMissing(own: ItemVersion, theirs: ItemVersion | undefined): boolean {
+  return theirs === undefined || isLater(own, theirs);
+}
+
+function toItemVersion({ key, stamp, order }: HashedVersion): ItemVersion {
+  return { key, stamp, order };
+}
+
+function sendItems(
+  peer: Correspondent,
+  table: ReplicatedTable,
+  keys: readonly string[],
+  wanted: readonly string[],
+): void {
+  const items = keys.flatMap((key) => table.getItem(key) ?? []) as Record<string, unknown>[];
+  do {
+    const part = items.splice(0, MAX_ITEMS_PER_MESSAGE);
+    const isLast = items.length === 0;
+    peer.send({ type: 'items', table: table.name, items: part, wanted: [...wanted], isLast });
+  } while (items.length > 0);
+}
--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -17,16 +17,20 @@
   graftMessage?: GraftMessage;
   pruneMessage?: PruneMessage;
   bucketHashesMessage?: BucketHashesMessage;
-  bucketMembersMessage?: BucketMembersMessage;
+  bucketItemsMessage?: BucketItemsMessage;
+  linkDigestMessage?: LinkDigestMessage;
+  pullMessage?: PullMessage;
+  summariesMessage?: SummariesMessage;
   probeMessage?: ProbeMessage;
   probeAnswerMessage?: ProbeAnswerMessage;
   digestMessage?: DigestMessage;
   entriesMessage?: EntriesMessage;
   snapshotMessage?: SnapshotMessage;
-  recordsMessage?: RecordsMessage;
+  itemsMessage?: ItemsMessage;
   surveyMessage?: SurveyMessage;
   surveyAnswerMessage?: SurveyAnswerMessage;
   memberRejection?: MemberRejection;
+  remoteItem?: RemoteItem;
 }
 /**
  * What a data centre knows of one daemon.
@@ -172,39 +176,99 @@
   type: 'prune';
 }
 /**
- * Hash of each part of the sender's member table.
+ * Hash of each part of a table that the sender holds.
  */
 export interface BucketHashesMessage {
   type: 'bucket-hashes';
+  /**
+   * Which of the replicated tables.
+   */
+  table: 'members' | 'summaries';
+  /**
+   * Items stamped later are left out, in milliseconds by the wall clock.
+   */
+  cutoffMs: number;
   /**
    * @maxItems 64
    */
   hashes: number[];
 }
 /**
- * Records that the sender holds in the named parts of its table.
+ * Items that the sender holds in the named parts of a table.
  */
-export interface BucketMembersMessage {
-  type: 'bucket-members';
+export interface BucketItemsMessage {
+  type: 'bucket-items';
+  /**
+   * Which of the replicated tables.
+   */
+  table: 'members' | 'summaries';
+  /**
+   * Items stamped later are left out, in milliseconds by the wall clock.
+   */
+  cutoffMs: number;
   /**
    * @maxItems 64
    */
   buckets: number[];
   /**
-   * @maxItems 20000
+   * @maxItems 50000
    */
-  members: MemberVersion[];
+  items: ItemVersion[];
 }
 /**
- * Which record of a member the sender holds.
+ * Which state of an item the sender holds.
  */
-export interface MemberVersion {
-  id: string;
-  incarnation: number;
+export interface ItemVersion {
+  key: string;
   /**
-   * State of the daemon itself.
+   * Incarnation of a member, or when a summary was made.
    */
-  state: 'alive' | 'suspect' | 'left' | 'dead';
+  stamp: number;
+  /**
+   * Order of the states within one stamp.
+   */
+  order: number;
+}
+/**
+ * What a reader candidate holds, told to one of another data centre.
+ */
+export interface LinkDigestMessage {
+  type: 'link-digest';
+  version: number;
+  headVersion: number;
+  /**
+   * Highest stamp held of the receiver's data centre.
+   */
+  summaryStampMs: number;
+  /**
+   * Hash of the services held of the receiver's data centre.
+   */
+  summaryHash: string;
+  /**
+   * Mesh addresses of the reader candidates.
+   *
+   * @maxItems 8
+   */
+  readers: string[];
+}
+/**
+ * Asks for the log entries above a version.
+ */
+export interface PullMessage {
+  type: 'pull';
+  headVersion: number;
+}
+/**
+ * Services of the sender's data centre that changed, or all.
+ */
+export interface SummariesMessage {
+  type: 'summaries';
+  stampMs: number;
+  isFull: boolean;
+  /**
+   * @maxItems 20000
+   */
+  summaries: ServiceSummary[];
 }
 /**
  * Asks the receiver to try a member over a connection of its own.
@@ -230,6 +294,11 @@
   version: number;
   headVersion: number;
   membersHash: string;
+  summariesHash: string;
+  /**
+   * Items stamped later are left out, in milliseconds by the wall clock.
+   */
+  cutoffMs: number;
   /**
    * Whether the receiver states its own digest in return.
    */
@@ -263,18 +332,30 @@
   hash: string;
 }
 /**
- * Member records that the receiver lacks, and ids that the sender lacks.
+ * Items that the receiver lacks, and keys of those that the sender lacks.
  */
-export interface RecordsMessage {
-  type: 'records';
+export interface ItemsMessage {
+  type: 'items';
+  /**
+   * Which of the replicated tables.
+   */
+  table: 'members' | 'summaries';
+  /**
+   * @maxItems 1000
+   *
+   * Items: A member record or a remote item.
+   */
+  items: {
+    [k: string]: unknown;
+  }[];
   /**
    * @maxItems 20000
    */
   wanted: string[];
   /**
-   * @maxItems 20000
+   * Whether nothing more follows on the same question.
    */
-  records: MemberRecord[];
+  isLast: boolean;
 }
 /**
  * Asks the receiver, and through it others, for the versions held.
@@ -315,6 +396,22 @@
   kind: string;
   message: string;
 }
+/**
+ * One thing that is known of another data centre: a service there, or whether a member of this one has a link to it.
+ */
+export interface RemoteItem {
+  dataCentre: string;
+  /**
+   * Later replaces earlier, in milliseconds.
+   */
+  stampMs: number;
+  summary?: ServiceSummary;
+  link?: LinkState;
+}
+export interface LinkState {
+  memberId: string;
+  isUp: boolean;
+}
 
 /** The schema itself, for validation at run time. */
 export const messagesSchema = {
@@ -357,8 +454,17 @@
     "bucketHashesMessage": {
       "$ref": "#/definitions/BucketHashesMessage"
     },
-    "bucketMembersMessage": {
-      "$ref": "#/definitions/BucketMembersMessage"
+    "bucketItemsMessage": {
+      "$ref": "#/definitions/BucketItemsMessage"
+    },
+    "linkDigestMessage": {
+      "$ref": "#/definitions/LinkDigestMessage"
+    },
+    "pullMessage": {
+      "$ref": "#/definitions/PullMessage"
+    },
+    "summariesMessage": {
+      "$ref": "#/definitions/SummariesMessage"
     },
     "probeMessage": {
       "$ref": "#/definitions/ProbeMessage"
@@ -375,8 +481,8 @@
     "snapshotMessage": {
       "$ref": "#/definitions/SnapshotMessage"
     },
-    "recordsMessage": {
-      "$ref": "#/definitions/RecordsMessage"
+    "itemsMessage": {
+      "$ref": "#/definitions/ItemsMessage"
     },
     "surveyMessage": {
       "$ref": "#/definitions/SurveyMessage"
@@ -386,6 +492,9 @@
     },
     "memberRejection": {
       "$ref": "#/definitions/MemberRejection"
+    },
+    "remoteItem": {
+      "$ref": "#/definitions/RemoteItem"
     }
   },
   "definitions": {
@@ -773,17 +882,31 @@
       }
     },
     "BucketHashesMessage": {
-      "description": "Hash of each part of the sender's member table.",
+      "description": "Hash of each part of a table that the sender holds.",
       "type": "object",
       "additionalProperties": false,
       "required": [
         "type",
+        "table",
+        "cutoffMs",
         "hashes"
       ],
       "properties": {
         "type": {
           "const": "bucket-hashes"
         },
+        "table": {
+          "description": "Which of the replicated tables.",
+          "enum": [
+            "members",
+            "summaries"
+          ]
+        },
+        "cutoffMs": {
+          "description": "Items stamped later are left out, in milliseconds by the wall clock.",
+          "type": "integer",
+          "minimum": 0
+        },
         "hashes": {
           "type": "array",
           "maxItems": 64,
@@ -794,48 +917,60 @@
         }
       }
     },
-    "MemberVersion": {
-      "description": "Which record of a member the sender holds.",
+    "ItemVersion": {
+      "description": "Which state of an item the sender holds.",
       "type": "object",
       "additionalProperties": false,
       "required": [
-        "id",
-        "incarnation",
-        "state"
+        "key",
+        "stamp",
+        "order"
       ],
       "properties": {
-        "id": {
+        "key": {
           "type": "string",
           "minLength": 1,
-          "maxLength": 64
+          "maxLength": 200
         },
-        "incarnation": {
+        "stamp": {
+          "description": "Incarnation of a member, or when a summary was made.",
           "type": "integer",
           "minimum": 0
         },
-        "state": {
-          "description": "State of the daemon itself.",
-          "enum": [
-            "alive",
-            "suspect",
-            "left",
-            "dead"
-          ]
+        "order": {
+          "description": "Order of the states within one stamp.",
+          "type": "integer",
+          "minimum": 0,
+          "maximum": 9
         }
       }
     },
-    "BucketMembersMessage": {
-      "description": "Records that the sender holds in the named parts of its table.",
+    "BucketItemsMessage": {
+      "description": "Items that the sender holds in the named parts of a table.",
       "type": "object",
       "additionalProperties": false,
       "required": [
         "type",
+        "table",
+        "cutoffMs",
         "buckets",
-        "members"
+        "items"
       ],
       "properties": {
         "type": {
-          "const": "bucket-members"
+          "const": "bucket-items"
+        },
+        "table": {
+          "description": "Which of the replicated tables.",
+          "enum": [
+            "members",
+            "summaries"
+          ]
+        },
+        "cutoffMs": {
+          "description": "Items stamped later are left out, in milliseconds by the wall clock.",
+          "type": "integer",
+          "minimum": 0
         },
         "buckets": {
           "type": "array",
@@ -846,11 +981,148 @@
             "maximum": 63
           }
         },
-        "members": {
+        "items": {
+          "type": "array",
+          "maxItems": 50000,
+          "items": {
+            "$ref": "#/definitions/ItemVersion"
+          }
+        }
+      }
+    },
+    "RemoteItem": {
+      "description": "One thing that is known of another data centre: a service there, or whether a member of this one has a link to it.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "dataCentre",
+        "stampMs"
+      ],
+      "properties": {
+        "dataCentre": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        },
+        "stampMs": {
+          "description": "Later replaces earlier, in milliseconds.",
+          "type": "integer",
+          "minimum": 0
+        },
+        "summary": {
+          "$ref": "#/definitions/ServiceSummary"
+        },
+        "link": {
+          "title": "LinkState",
+          "type": "object",
+          "additionalProperties": false,
+          "required": [
+            "memberId",
+            "isUp"
+          ],
+          "properties": {
+            "memberId": {
+              "type": "string",
+              "minLength": 1,
+              "maxLength": 64
+            },
+            "isUp": {
+              "type": "boolean"
+            }
+          }
+        }
+      }
+    },
+    "LinkDigestMessage": {
+      "description": "What a reader candidate holds, told to one of another data centre.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "version",
+        "headVersion",
+        "summaryStampMs",
+        "summaryHash",
+        "readers"
+      ],
+      "properties": {
+        "type": {
+          "const": "link-digest"
+        },
+        "version": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "headVersion": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "summaryStampMs": {
+          "description": "Highest stamp held of the receiver's data centre.",
+          "type": "integer",
+          "minimum": 0
+        },
+        "summaryHash": {
+          "type": "string",
+          "maxLength": 64,
+          "description": "Hash of the services held of the receiver's data centre."
+        },
+        "readers": {
+          "description": "Mesh addresses of the reader candidates.",
+          "type": "array",
+          "maxItems": 8,
+          "items": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 64
+          }
+        }
+      }
+    },
+    "PullMessage": {
+      "description": "Asks for the log entries above a version.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "headVersion"
+      ],
+      "properties": {
+        "type": {
+          "const": "pull"
+        },
+        "headVersion": {
+          "type": "integer",
+          "minimum": 0
+        }
+      }
+    },
+    "SummariesMessage": {
+      "description": "Services of the sender's data centre that changed, or all.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "stampMs",
+        "isFull",
+        "summaries"
+      ],
+      "properties": {
+        "type": {
+          "const": "summaries"
+        },
+        "stampMs": {
+          "type": "integer",
+          "minimum": 0
+        },
+        "isFull": {
+          "type": "boolean"
+        },
+        "summaries": {
           "type": "array",
           "maxItems": 20000,
           "items": {
-            "$ref": "#/definitions/MemberVersion"
+            "$ref": "#/definitions/ServiceSummary"
           }
         }
       }
@@ -912,6 +1184,8 @@
         "version",
         "headVersion",
         "membersHash",
+        "summariesHash",
+        "cutoffMs",
         "reply"
       ],
       "properties": {
@@ -930,6 +1204,15 @@
           "type": "string",
           "maxLength": 64
         },
+        "summariesHash": {
+          "type": "string",
+          "maxLength": 64
+        },
+        "cutoffMs": {
+          "description": "Items stamped later are left out, in milliseconds by the wall clock.",
+          "type": "integer",
+          "minimum": 0
+        },
         "reply": {
           "description": "Whether the receiver states its own digest in return.",
           "type": "boolean"
@@ -983,34 +1266,49 @@
         }
       }
     },
-    "RecordsMessage": {
-      "description": "Member records that the receiver lacks, and ids that the sender lacks.",
+    "ItemsMessage": {
+      "description": "Items that the receiver lacks, and keys of those that the sender lacks.",
       "type": "object",
       "additionalProperties": false,
       "required": [
         "type",
+        "table",
+        "items",
         "wanted",
-        "records"
+        "isLast"
       ],
       "properties": {
         "type": {
-          "const": "records"
+          "const": "items"
         },
-        "wanted": {
+        "table": {
+          "description": "Which of the replicated tables.",
+          "enum": [
+            "members",
+            "summaries"
+          ]
+        },
+        "items": {
           "type": "array",
-          "maxItems": 20000,
+          "maxItems": 1000,
           "items": {
-            "type": "string",
-            "minLength": 1,
-            "maxLength": 64
+            "description": "A member record or a remote item.",
+            "type": "object",
+            "additionalProperties": true
           }
         },
-        "records": {
+        "wanted": {
           "type": "array",
           "maxItems": 20000,
           "items": {
-            "$ref": "#/definitions/MemberRecord"
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 200
           }
+        },
+        "isLast": {
+          "description": "Whether nothing more follows on the same question.",
+          "type": "boolean"
         }
       }
     },
