--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -1,3 +1,16 @@
+export { type ClaimsOptions, createClaims } from './CactusdealTrafficClaims.js';
+export {
+  createGateQueue,
+  type GateQueueOptions,
+  type Schedule,
+} from './CactusdealTrafficGateQueue.js';
+export {
+  computeFingerprint,
+  createQuarantine,
+  type FingerprintParts,
+  type QuarantineOptions,
+  type SharedQuarantine,
+} from './CactusdealTrafficQuarantine.js';
 export {
   CallOutcome,
   type Directory,
@@ -7,3 +20,19 @@
   type Refusal,
   RefusalKind,
 } from './CactusdealTrafficTypes.js';
+export { createFifoQueue, type FifoQueueOptions } from './CactusdealTrafficFifoQueue.js';
+export { CallHeader } from './CactusdealTrafficHeaders.js';
+export {
+  type CallListener,
+  type CallListenerOptions,
+  startCallListener,
+} from './CactusdealTrafficListener.js';
+export { createTrafficMetrics, type TrafficMetrics } from './CactusdealTrafficMetrics.js';
+export type {
+  AdmissionRequest,
+  Claims,
+  ClaimTicket,
+  GateQueue,
+  Quarantine,
+  Slot,
+} from './CactusdealTrafficPolicyTypes.js';
