--- a/packages/testing/src/CactusdealTestingLedger.ts
+++ b/packages/testing/src/CactusdealTestingLedger.ts
@@ -17,13 +17,14 @@
   getResults(): readonly CallResult[];
   /**
    * Lists what should never be: an answer that is not whole or not the call's own, a call refused as
-   * not run that ran, and an idempotency key of `atMostOnceKeys` that ran twice.
+   * not run that ran, and an idempotency key that ran twice. Only calls that may run at most once
+   * should carry a key.
    */
   collectBreaches(hosts: readonly Host[]): Promise<readonly string[]>;
 }
 
-/** Creates an empty ledger; keys that start with one of the prefixes may run at most once. */
-export function createLedger(atMostOnceKeys: readonly string[]): Ledger {
+/** Creates an empty ledger. */
+export function createLedger(): Ledger {
   const results: CallResult[] = [];
   return {
     send: async (host, spec) => {
@@ -41,7 +42,7 @@
       return [
         ...results.flatMap(listWrongAnswers),
         ...listFalseRefusals(results, runs),
-        ...listRepeatedKeys(runs, atMostOnceKeys),
+        ...listRepeatedKeys(runs),
       ].slice(0, MAX_BREACHES);
     },
   };
@@ -62,12 +63,10 @@
     });
 }
 
-function listRepeatedKeys(runs: readonly RunRecord[], prefixes: readonly string[]): string[] {
+function listRepeatedKeys(runs: readonly RunRecord[]): string[] {
   const workersOfKey = new Map<string, string[]>();
-  const guarded = runs.filter(({ idempotencyKey }) =>
-    prefixes.some((prefix) => idempotencyKey.startsWith(prefix)),
-  );
-  guarded.forEach(({ idempotencyKey, worker }) => {
+  const keyed = runs.filter(({ idempotencyKey }) => idempotencyKey !== '');
+  keyed.forEach(({ idempotencyKey, worker }) => {
     workersOfKey.set(idempotencyKey, [...(workersOfKey.get(idempotencyKey) ?? []), worker]);
   });
   return [...workersOfKey]
--- /dev/null
+++ b/packages/testing/src/CactusdealTestingLoad.ts
@@ -0,0 +1,57 @@
+import { createSeededRandom, getMonotonicMs, type Random, waitMs } from '@cactusdeal/shared';
+
+/** Calls of one class, which arrive at random whether or not earlier ones were answered. */
+export interface LoadClass<T> {
+  readonly name: string;
+  readonly callsPerSecond: number;
+  /** Makes one call; `index` counts the calls of this class from 0. */
+  send(index: number, random: Random): Promise<T>;
+}
+
+/** Result of one call of a load. */
+export interface LoadResult<T> {
+  readonly className: string;
+  readonly result: T;
+}
+
+interface Arrival<T> {
+  readonly atMs: number;
+  readonly index: number;
+  readonly loadClass: LoadClass<T>;
+}
+
+/** Runs an open loop with exponential times between arrivals; resolves when all calls ended. */
+export async function runLoad<T>(options: {
+  readonly classes: readonly LoadClass<T>[];
+  readonly durationMs: number;
+  readonly seed: number;
+}): Promise<LoadResult<T>[]> {
+  const random = createSeededRandom(options.seed);
+  const arrivals = options.classes.flatMap((loadClass) =>
+    planArrivals(loadClass, options.durationMs, random),
+  );
+  arrivals.sort((left, right) => left.atMs - right.atMs);
+  const startMs = getMonotonicMs();
+  const calls: Promise<LoadResult<T>>[] = [];
+  for (const { atMs, index, loadClass } of arrivals) {
+    const remainingMs = startMs + atMs - getMonotonicMs();
+    if (remainingMs > 1) await waitMs(remainingMs);
+    const call = loadClass.send(index, random);
+    calls.push(call.then((result) => ({ className: loadClass.name, result })));
+  }
+  return Promise.all(calls);
+}
+
+function planArrivals<T>(
+  loadClass: LoadClass<T>,
+  durationMs: number,
+  random: Random,
+): Arrival<T>[] {
+  const arrivals: Arrival<T>[] = [];
+  const meanMs = 1000 / loadClass.callsPerSecond;
+  const drawMs = (): number => -Math.log(1 - random()) * meanMs;
+  for (let atMs = drawMs(); atMs < durationMs; atMs += drawMs()) {
+    arrivals.push({ atMs, index: arrivals.length, loadClass });
+  }
+  return arrivals;
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -33,7 +33,9 @@
   type FaultProxy,
   startFaultProxy,
 } from './CactusdealTestingFaultProxy.js';
+export { createIdempotencyKey } from './CactusdealTestingKey.js';
 export { createLedger, type Ledger } from './CactusdealTestingLedger.js';
+export { type LoadClass, type LoadResult, runLoad } from './CactusdealTestingLoad.js';
 export { type PlatformProcess, startPlatformProcess } from './CactusdealTestingPlatform.js';
 export { findFreePorts } from './CactusdealTestingPorts.js';
 export {
