--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -4,14 +4,6 @@
   type GateQueueOptions,
   type Schedule,
 } from './CactusdealTrafficGateQueue.js';
-export type {
-  AdmissionRequest,
-  Claims,
-  ClaimTicket,
-  GateQueue,
-  Quarantine,
-  Slot,
-} from './CactusdealTrafficPolicyTypes.js';
 export {
   computeFingerprint,
   createQuarantine,
@@ -28,3 +20,19 @@
   type Refusal,
   RefusalKind,
 } from './CactusdealTrafficTypes.js';
+export { createFifoQueue, type FifoQueueOptions } from './CactusdealTrafficFifoQueue.js';
+export { CallHeader } from './CactusdealTrafficHeaders.js';
+export {
+  type CallListener,
+  type CallListenerOptions,
+  startCallListener,
+} from './CactusdealTrafficListener.js';
+export { createTrafficMetrics, type TrafficMetrics } from './CactusdealTrafficMetrics.js';
+export type {
+  AdmissionRequest,
+  Claims,
+  ClaimTicket,
+  GateQueue,
+  Quarantine,
+  Slot,
+} from './CactusdealTrafficPolicyTypes.js';
