--- /dev/null
+++ b/packages/demo/src/CactusdealDemoReport.ts
@@ -0,0 +1,99 @@
+import type { ClassSummary } from './CactusdealDemoCalls.js';
+
+/** One thing that the demo checks, with what it saw. */
+export interface DemoCheck {
+  readonly name: string;
+  readonly passed: boolean;
+  readonly seen: string;
+}
+
+/** What a class kept in time while another one flooded in. */
+export interface FloodShare {
+  readonly name: string;
+  readonly rank: string;
+  readonly isFlood: boolean;
+  /** Part of the calls that were answered in time, without and with the flood. */
+  readonly before: number;
+  readonly during: number;
+  /** Calls a second that were answered in time during the flood. */
+  readonly inTimePerSecond: number;
+}
+
+/** The four measures of the brief, the checks and whether all of them passed. */
+export interface DemoReport {
+  readonly body: string;
+  readonly daemons: number;
+  readonly convergence: {
+    readonly changes: number;
+    readonly p50Ms: number;
+    readonly largestMs: number;
+  };
+  /** Bytes between data centres, both directions together. */
+  readonly controlBytes: {
+    readonly idlePerSecond: number;
+    readonly idlePerSecondAndDaemon: number;
+    readonly perChange: number;
+  };
+  readonly service: readonly ClassSummary[];
+  readonly flood: readonly FloodShare[];
+  readonly checks: readonly DemoCheck[];
+  readonly passed: boolean;
+}
+
+const RANKS = ['critical', 'high', 'normal', 'low'];
+
+/** Formats the report as tables for people. */
+export function formatReport(report: DemoReport): string {
+  const { convergence, controlBytes } = report;
+  return [
+    `\n1. Convergence after an accepted change, ${report.daemons} daemons, ${convergence.changes} changes`,
+    formatTable(['p50 ms', 'largest ms'], [[convergence.p50Ms, convergence.largestMs]]),
+    '\n2. Control bytes between data centres',
+    formatTable(
+      ['idle B/s', 'idle B/s per daemon', 'B per change'],
+      [[controlBytes.idlePerSecond, controlBytes.idlePerSecondAndDaemon, controlBytes.perChange]],
+    ),
+    '\n3. Service by rank',
+    formatTable(
+      ['rank', 'class', 'calls', 'in time', 'not run', 'other', 'p50 ms', 'p99 ms'],
+      listByRank(report.service).map(formatService),
+    ),
+    '\n4. What each class keeps in time while one floods in',
+    formatTable(
+      ['rank', 'class', 'before', 'during', 'in time/s'],
+      listByRank(report.flood).map(formatShare),
+    ),
+    '\nChecks',
+    ...report.checks.map(formatCheck),
+  ].join('\n');
+}
+
+function listByRank<T extends { readonly rank: string }>(items: readonly T[]): T[] {
+  return [...items].sort((left, right) => RANKS.indexOf(left.rank) - RANKS.indexOf(right.rank));
+}
+
+function formatService(item: ClassSummary): (string | number)[] {
+  const { rank, name, calls, inTime, notRun, other, p50Ms, p99Ms } = item;
+  return [rank, name, calls, inTime, notRun, other, p50Ms, p99Ms];
+}
+
+function formatShare(item: FloodShare): (string | number)[] {
+  const name = item.isFlood ? `${item.name} (flood)` : item.name;
+  const percents = [item.before, item.during].map((part) => `${(part * 100).toFixed(1)} %`);
+  return [item.rank, name, ...percents, item.inTimePerSecond.toFixed(1)];
+}
+
+function formatCheck({ name, passed, seen }: DemoCheck): string {
+  return `  ${passed ? 'held  ' : 'FAILED'} ${name}: ${seen}`;
+}
+
+function formatTable(heads: readonly string[], rows: readonly (string | number)[][]): string {
+  const lines = [heads, ...rows].map((row) => row.map(String));
+  const widths = heads.map((_, column) =>
+    Math.max(...lines.map((line) => (line[column] ?? '').length)),
+  );
+  return lines
+    .map((line) => line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  '))
+    .map((line) => `  ${line.trimEnd()}`)
+    .join('\n');
+}
