--- a/packages/daemon/src/CactusdealDaemonMain.ts
+++ b/packages/daemon/src/CactusdealDaemonMain.ts
@@ -36,12 +36,14 @@
   startLogging((line) => process.stderr.write(`${line}\n`), LEVELS[settings.logLevel]);
   const stop = waitForSignal();
   try {
-    const daemon = await startDaemon(settings, stop.signal);
+    const daemon = await startDaemon(settings);
     const { meshAddress, callsAddress, adminAddress } = daemon;
     const addresses = `mesh=${meshAddress} calls=${callsAddress} admin=${adminAddress}`;
     process.stdout.write(`listening ${addresses}\n`);
-    if (await daemon.ready) process.stdout.write(`ready ${addresses}\n`);
-    await stop.requested;
+    void daemon.ready.then((isReady) => {
+      if (isReady) process.stdout.write(`ready ${addresses}\n`);
+    });
+    await stop;
     await daemon.close();
     return 0;
   } catch (caught) {
@@ -50,15 +52,9 @@
   }
 }
 
-function waitForSignal(): { readonly requested: Promise<void>; readonly signal: AbortSignal } {
-  const controller = new AbortController();
-  const requested = new Promise<void>((resolve) => {
-    const handleSignal = (): void => {
-      controller.abort();
-      resolve();
-    };
-    process.once('SIGTERM', handleSignal);
-    process.once('SIGINT', handleSignal);
+function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
   });
-  return { requested, signal: controller.signal };
 }
--- /dev/null
+++ b/packages/daemon/src/CactusdealDaemonParts.ts
@@ -0,0 +1,24 @@
+import type { ConfigurationHolder } from '@cactusdeal/configuration';
+import type { Mesh } from '@cactusdeal/mesh';
+import type { Platform } from '@cactusdeal/platform';
+import type { CompleteSettings } from '@cactusdeal/schema';
+import type { Log } from '@cactusdeal/shared';
+import type { Claims, GateQueue, SharedQuarantine } from '@cactusdeal/traffic';
+import type { Registry } from 'prom-client';
+import type { LiveDirectory } from './CactusdealDaemonDirectory.js';
+import type { LocalWorkers } from './CactusdealDaemonWorkers.js';
+
+/** The parts that live as long as the daemon. */
+export interface Parts {
+  readonly settings: CompleteSettings;
+  readonly log: Log;
+  readonly registry: Registry;
+  readonly platform: Platform;
+  readonly holder: ConfigurationHolder;
+  readonly mesh: Mesh;
+  readonly workers: LocalWorkers;
+  readonly directory: LiveDirectory;
+  readonly queue: GateQueue;
+  readonly claims: Claims;
+  readonly quarantine: SharedQuarantine;
+}
--- a/packages/daemon/src/CactusdealDaemonState.ts
+++ b/packages/daemon/src/CactusdealDaemonState.ts
@@ -1,4 +1,4 @@
-import { type ConfigurationHolder, hashSnapshot } from '@cactusdeal/configuration';
+import type { ConfigurationHolder } from '@cactusdeal/configuration';
 import type { MeshState } from '@cactusdeal/mesh';
 
 /** Adapts the configuration that this daemon holds to what the mesh spreads and surveys. */
@@ -11,10 +11,7 @@
     getVersion: () => holder.getSnapshot().version,
     getHeadVersion: () => holder.getHeadVersion(),
     getEntriesAfter: (version) => holder.getEntriesAfter(version),
-    getSnapshotWithHash: () => {
-      const snapshot = holder.getSnapshot();
-      return { snapshot, hash: hashSnapshot(snapshot) };
-    },
+    getSnapshotWithHash: () => ({ snapshot: holder.getSnapshot(), hash: holder.getHash() }),
     getRejections: () =>
       holder.getRejections().map(({ version, failure }) => ({
         memberId: getMemberId(),
--- a/packages/daemon/src/CactusdealDaemonWorkers.ts
+++ b/packages/daemon/src/CactusdealDaemonWorkers.ts
@@ -41,11 +41,14 @@
  */
 export function createLocalWorkers(options: {
   readonly leaseMs: number;
+  /** Never goes back; measures the lease. */
   readonly clock: Clock;
+  /** Dates the moment when the upstream became ready. */
+  readonly wallClock: Clock;
   readonly log: Log;
   readonly publish: (worker: Worker | undefined) => void;
 }): LocalWorkers {
-  const { leaseMs, clock, log, publish } = options;
+  const { leaseMs, clock, wallClock, log, publish } = options;
   let held: Held | undefined;
   const timer = setInterval(removeExpired, leaseMs / CHECKS_PER_LEASE);
 
@@ -62,7 +65,7 @@
 
   function acceptAnnouncement(name: string, body: WorkerAnnouncement): Worker {
     const before = held?.worker;
-    const readyAtMs = before?.state === 'ready' ? before.readyAtMs : clock();
+    const readyAtMs = before?.state === 'ready' ? before.readyAtMs : Math.round(wallClock());
     const { address, ...rest } = body;
     const worker: Worker = { name, ...rest, readyAtMs };
     held = { worker, address, renewedAtMs: clock() };
--- a/packages/mesh/src/CactusdealMeshOptions.ts
+++ b/packages/mesh/src/CactusdealMeshOptions.ts
@@ -10,6 +10,9 @@
   readonly meshAddress: string;
   readonly callsAddress: string;
   readonly adminAddress: string;
+  /** Addresses for daemons of other data centres, where they differ from those above. */
+  readonly remoteMeshAddress?: string;
+  readonly remoteCallsAddress?: string;
   /** Mesh addresses in this data centre, tried at start and when isolated. */
   readonly contacts: readonly string[];
   /** Mesh addresses in other data centres, by data centre. */
--- a/packages/mesh/src/CactusdealMeshParts.ts
+++ b/packages/mesh/src/CactusdealMeshParts.ts
@@ -236,7 +236,8 @@
     view: shared.view,
     source: createSummarySource(options.dataCentre, members.list, clock),
     isCandidate: () => readers.isChosen(options.id),
-    listReaderAddresses: () => readers.list().map((record) => record.meshAddress),
+    listReaderAddresses: () =>
+      readers.list().map((record) => record.remoteMeshAddress ?? record.meshAddress),
     onReaders: () => {},
     remoteContacts: options.remoteContacts,
     findRemoteReaders: options.findRemoteReaders ?? findNone,
@@ -256,12 +257,15 @@
   incarnation: number,
 ): MemberRecord {
   const { id, dataCentre, callsAddress, adminAddress } = options;
+  const { remoteMeshAddress, remoteCallsAddress } = options;
   return {
     id,
     dataCentre,
     incarnation,
     meshAddress,
     callsAddress,
+    ...(remoteMeshAddress === undefined ? {} : { remoteMeshAddress }),
+    ...(remoteCallsAddress === undefined ? {} : { remoteCallsAddress }),
     adminAddress,
     state: 'alive',
   };
--- a/packages/mesh/src/CactusdealMeshSummaries.ts
+++ b/packages/mesh/src/CactusdealMeshSummaries.ts
@@ -56,8 +56,14 @@
   return state === 'alive' && worker?.state === 'ready';
 }
 
-function toGate({ id, callsAddress, worker }: MemberRecord): SummaryGate {
-  return { memberId: id, callsAddress, worker: worker?.name ?? id, slots: worker?.slots ?? 1 };
+function toGate({ id, callsAddress, remoteCallsAddress, worker }: MemberRecord): SummaryGate {
+  const address = remoteCallsAddress ?? callsAddress;
+  return {
+    memberId: id,
+    callsAddress: address,
+    worker: worker?.name ?? id,
+    slots: worker?.slots ?? 1,
+  };
 }
 
 function createSummary(
