Claim idempotency keys in shared pages; keep crashing requests away

Cause: one platform record for each key costs two writes a call; a claim has to survive lost answers, pauses and crashes of its holder. A request that crashes upstreams has to be kept away without blaming its neighbours for long.

--- a/packages/traffic/src/CactusdealTrafficClaims.ts
+++ b/packages/traffic/src/CactusdealTrafficClaims.ts
@@ -1,102 +1,185 @@
-import { createHash } from 'node:crypto';
-import type { Platform, WriteOutcome } from '@cactusdeal/platform';
-import type { Clock, Log, Random } from '@cactusdeal/shared';
-import { decode, encode } from 'cbor-x';
-import { type Either, Left, Right } from 'purify-ts';
-import { readKeyTime } from './CactusdealTrafficClaimsKey.js';
-import { buildRefusal } from './CactusdealTrafficGateQueueRefusal.js';
+import type { Platform } from '@cactusdeal/platform';
+import { type Clock, type Log, type Random, waitMs } from '@cactusdeal/shared';
+import { type Either, Left } from 'purify-ts';
+import { type ClaimPlace, computeClaimPlace, readKeyTime } from './CactusdealTrafficClaimsKey.js';
+import { createLeaseSource, type LeaseSource } from './CactusdealTrafficClaimsLease.js';
+import { ClaimPage } from './CactusdealTrafficClaimsPage.js';
+import { buildUnavailable, createPendingClaim } from './CactusdealTrafficClaimsPending.js';
+import { type Schedule, scheduleTimeout } from './CactusdealTrafficGateQueue.js';
+import { createNotRun } from './CactusdealTrafficRefusal.js';
 import type { Claims, ClaimTicket } from './CactusdealTrafficPolicyTypes.js';
-import { CallOutcome, type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
+import { type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
 
 /** What claims are made of; times in milliseconds. */
 export interface ClaimsOptions {
   readonly platform: Platform;
   /** Name of this daemon. */
   readonly holderId: string;
-  /** Wall clock: the time in a key is compared with it. */
+  /** Wall clock: times of keys and deadlines are compared with it, also those of other daemons. */
   readonly clock: Clock;
   readonly log: Log;
   readonly random: Random;
   /** How long after its own time a key is remembered. */
   readonly retentionMs?: number;
+  readonly pause?: (durationMs: number, signal?: AbortSignal) => Promise<void>;
+  readonly schedule?: Schedule;
+  /** Longest wait for the last changes at the end. */
+  readonly closeMs?: number;
 }
 
 type ClaimRequest = Parameters<Claims['claim']>[0];
-
-interface ClaimRecord {
-  readonly attempt: string;
-  readonly holder: string;
-  readonly deadlineAtMs: number;
-  readonly status?: number;
-}
+type Claimed = Either<Refusal, ClaimTicket>;
 
 const RETENTION_MS = 86_400_000;
 const LEAD_MS = 60_000;
-const MARGIN_MS = 2_000;
+const LAZY_MS = 250;
+const CLOSE_MS = 2_000;
+/** Claims and changes that may wait for the platform. */
+const MAX_WORK = 10_000;
+/** Pages that are remembered without having anything to write. */
+const MAX_IDLE_PAGES = 64;
+/** While the platform fails, one claim in this time is let through to try it. */
+const PROBE_MS = 250;
 
-/** Creates claims with one record for each key. */
+/** Creates claims that share one record of the platform for each window and shard of keys. */
 export function createClaims(options: ClaimsOptions): Claims {
-  return new KeyClaims(options);
+  return new PagedClaims(options);
 }
 
-class KeyClaims implements Claims {
+class PagedClaims implements Claims {
+  private readonly pages = new Map<string, ClaimPage>();
+
+  private readonly retentionMs: number;
+
+  private readonly leases: LeaseSource;
+
+  private readonly attemptPrefix: string;
+
   private attempts = 0;
 
-  public constructor(private readonly options: ClaimsOptions) {}
+  private failingSinceMs: number | undefined;
+
+  private lastProbeMs = -Infinity;
+
+  private isClosed = false;
+
+  public constructor(private readonly options: ClaimsOptions) {
+    const { platform, clock, holderId, random } = options;
+    this.retentionMs = options.retentionMs ?? RETENTION_MS;
+    this.leases = createLeaseSource(platform, clock, this.retentionMs);
+    this.attemptPrefix = `${holderId}/${Math.floor(random() * 2 ** 48).toString(36)}`;
+  }
+
+  public async claim(request: ClaimRequest): Promise<Claimed> {
+    const { clock } = this.options;
+    const nowMs = clock();
+    const bounds = { retentionMs: this.retentionMs, leadMs: LEAD_MS };
+    const time = readKeyTime(request.key, nowMs, bounds);
+    const refusal = this.refuseEarly(request, nowMs);
+    if (refusal !== undefined && time.isRight()) return Left(refusal);
+    return time.caseOf<Promise<Claimed>>({
+      Left: (failure) => Promise.resolve(Left(failure)),
+      Right: (keyMs) =>
+        this.claimPlace(request, computeClaimPlace(request.service, request.key, keyMs)),
+    });
+  }
+
+  private refuseEarly(request: ClaimRequest, nowMs: number): Refusal | undefined {
+    if (request.signal.aborted) {
+      return createNotRun(RefusalKind.Cancelled, 'caller cancelled before the key was claimed');
+    }
+    if (nowMs >= request.deadlineAtMs) {
+      return createNotRun(RefusalKind.DeadlinePassed, 'deadline passed before the key was claimed');
+    }
+    if (this.isClosed || this.countWork() >= MAX_WORK) return buildUnavailable();
+    if (this.failingSinceMs === undefined) return undefined;
+    if (nowMs - this.lastProbeMs < PROBE_MS) return buildUnavailable(PROBE_MS);
+    this.lastProbeMs = nowMs;
+    return undefined;
+  }
+
+  private countWork(): number {
+    let work = 0;
+    this.pages.forEach((page) => {
+      work += page.countWork();
+    });
+    return work;
+  }
 
-  public async claim(request: ClaimRequest): Promise<Either<Refusal, ClaimTicket>> {
-    const { clock, holderId, platform, random, retentionMs = RETENTION_MS } = this.options;
-    const time = readKeyTime(request.key, clock(), { retentionMs, leadMs: LEAD_MS });
-    if (time.isLeft()) return Left(time.extract());
+  private claimPlace(request: ClaimRequest, place: ClaimPlace): Promise<Claimed> {
+    const { clock, schedule = scheduleTimeout } = this.options;
+    const page = this.getPage(place.platformKey);
     this.attempts += 1;
-    const record: ClaimRecord = {
-      attempt: `${holderId}/${this.attempts}/${random()}`,
-      holder: holderId,
-      deadlineAtMs: request.deadlineAtMs,
+    const attempt = `${this.attemptPrefix}.${this.attempts.toString(36)}`;
+    const { hash } = place;
+    const { deadlineAtMs, signal } = request;
+    return new Promise((resolve) => {
+      const settle = (result: Either<Refusal, undefined>): void =>
+        resolve(result.map(() => this.createTicket(place, attempt)));
+      const common = { hash, attempt, deadlineAtMs, signal };
+      page.add(createPendingClaim({ ...common, clock, schedule, settle }));
+    });
+  }
+
+  private createTicket({ hash, platformKey }: ClaimPlace, attempt: string): ClaimTicket {
+    let isUsed = false;
+    const change = (status: number | undefined): void => {
+      if (isUsed) return;
+      isUsed = true;
+      // Without room a key stays claimed without an outcome, which resends read as unknown.
+      if (this.countWork() < MAX_WORK) this.getPage(platformKey).change({ hash, attempt, status });
     };
-    const platformKey = computeClaimKey(request.service, request.key);
-    const written = await platform.createIfAbsent(platformKey, encode(record));
-    return written
-      .mapLeft(() => buildRefusal(RefusalKind.ClaimUnavailable, 'claim could not be written'))
-      .chain((outcome) => this.resolve(platformKey, record, outcome));
+    return { complete: (status) => change(status), abandon: () => change(undefined) };
   }
 
-  private resolve(
-    platformKey: string,
-    record: ClaimRecord,
-    outcome: WriteOutcome,
-  ): Either<Refusal, ClaimTicket> {
-    const { clock, platform } = this.options;
-    if (!outcome.written) return Left(buildClaimed(outcome.current?.value, clock()));
-    const { revision } = outcome;
-    return Right({
-      complete: (status) => {
-        void platform.compareAndSwap(platformKey, revision, encode({ ...record, status }));
-      },
-      abandon: () => {
-        void platform.remove(platformKey, revision);
-      },
+  private getPage(platformKey: string): ClaimPage {
+    const known = this.pages.get(platformKey);
+    const page = known ?? this.createPage(platformKey);
+    this.pages.delete(platformKey);
+    this.pages.set(platformKey, page);
+    this.evictPages();
+    return page;
+  }
+
+  private createPage(platformKey: string): ClaimPage {
+    const { platform, random, pause = waitMs } = this.options;
+    return new ClaimPage({
+      platform,
+      platformKey,
+      leases: this.leases,
+      random,
+      pause,
+      recordAnswer: (isAnswered) => this.recordAnswer(isAnswered),
+      lazyMs: LAZY_MS,
     });
   }
 
-  // eslint-disable-next-line class-methods-use-this -- nothing is held between claims
-  public async close(): Promise<void> {
-    await Promise.resolve();
+  private evictPages(): void {
+    if (this.pages.size <= MAX_IDLE_PAGES) return;
+    const [oldest] = [...this.pages].filter(([, page]) => page.isIdle());
+    if (oldest !== undefined) this.pages.delete(oldest[0]);
   }
-}
 
-function computeClaimKey(service: string, key: string): string {
-  const hash = createHash('sha256').update(JSON.stringify([service, key.toLowerCase()]));
-  return `claim/${hash.digest('hex')}`;
-}
+  private recordAnswer(isAnswered: boolean): void {
+    const { clock, log } = this.options;
+    if (isAnswered && this.failingSinceMs !== undefined) {
+      log.info('claims-available', { afterMs: clock() - this.failingSinceMs });
+      this.failingSinceMs = undefined;
+    }
+    if (!isAnswered && this.failingSinceMs === undefined) {
+      log.warn('claims-unavailable');
+      this.failingSinceMs = clock();
+    }
+  }
 
-function buildClaimed(value: Uint8Array | undefined, nowMs: number): Refusal {
-  const record = value === undefined ? undefined : (decode(value) as ClaimRecord);
-  const message = 'idempotency key is claimed by another attempt';
-  if (record?.status !== undefined) {
-    return buildRefusal(RefusalKind.KeyClaimed, message, { outcome: CallOutcome.Completed });
+  /** Refuses new claims, and waits a bounded time for what is still to be written. */
+  public async close(): Promise<void> {
+    this.isClosed = true;
+    const { closeMs = CLOSE_MS, pause = waitMs } = this.options;
+    const finished = new AbortController();
+    const finishing = Promise.all([...this.pages.values()].map((page) => page.finish()));
+    void finishing.then(() => finished.abort());
+    await pause(closeMs, finished.signal);
+    this.pages.forEach((page) => page.stop());
   }
-  const isRunning = record !== undefined && nowMs < record.deadlineAtMs + MARGIN_MS;
-  const outcome = isRunning ? CallOutcome.Running : CallOutcome.Unknown;
-  return buildRefusal(RefusalKind.KeyClaimed, message, { outcome });
 }
--- a/packages/traffic/src/CactusdealTrafficGateQueue.ts
+++ b/packages/traffic/src/CactusdealTrafficGateQueue.ts
@@ -6,7 +6,7 @@
   type WaitingCall,
 } from './CactusdealTrafficGateQueueAccount.js';
 import { Ledger } from './CactusdealTrafficGateQueueLedger.js';
-import { buildRefusal } from './CactusdealTrafficGateQueueRefusal.js';
+import { createNotRun } from './CactusdealTrafficRefusal.js';
 import type { AdmissionRequest, GateQueue, Slot } from './CactusdealTrafficPolicyTypes.js';
 import { type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
 
@@ -237,18 +237,19 @@
 function buildRefused(account: Account, kind: RefusalKind, message: string): Admission {
   const waitMs = Math.ceil(account.estimateWaitMs());
   const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.min(waitMs, MOST_RETRY_MS));
-  return Left(buildRefusal(kind, message, { retryAfterMs }));
+  return Left(createNotRun(kind, message, retryAfterMs));
 }
 
 function buildCancelled(): Refusal {
-  return buildRefusal(RefusalKind.Cancelled, 'caller cancelled while the call waited');
+  return createNotRun(RefusalKind.Cancelled, 'caller cancelled while the call waited');
 }
 
 function buildDraining(): Refusal {
-  return buildRefusal(RefusalKind.Draining, 'gate takes no more calls');
+  return createNotRun(RefusalKind.Draining, 'gate takes no more calls');
 }
 
-function scheduleTimeout(run: () => void, delayMs: number): () => void {
+/** Runs a function by a timer that does not keep the process alive. */
+export function scheduleTimeout(run: () => void, delayMs: number): () => void {
   const timer = setTimeout(run, delayMs);
   timer.unref();
   return () => clearTimeout(timer);
--- a/packages/traffic/src/CactusdealTrafficQuarantine.ts
+++ b/packages/traffic/src/CactusdealTrafficQuarantine.ts
@@ -1,18 +1,21 @@
 import { createHash } from 'node:crypto';
 import type { Clock } from '@cactusdeal/shared';
-import { buildRefusal } from './CactusdealTrafficGateQueueRefusal.js';
+import { createNotRun } from './CactusdealTrafficRefusal.js';
 import type { Quarantine } from './CactusdealTrafficPolicyTypes.js';
 import { type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
 
 /** What a quarantine is made of; times in milliseconds. */
 export interface QuarantineOptions {
   readonly clock: Clock;
-  /** Tells the other daemons of the data centre how many crashes this one has counted. */
-  readonly publish: (fingerprint: string, crashes: number) => void;
+  /** Tells the other daemons of the data centre what this one has counted in total. */
+  readonly publish: (fingerprint: string, crashes: number, inFlight: number) => void;
   /** Crashes after which a request is kept away. */
   readonly crashLimit?: number;
+  /** Time for which a request is kept away that was alone in flight at a crash. */
   readonly quarantineMs?: number;
-  /** How long a crash counts towards the limit. */
+  /** Least time for which a request is kept away, however many others were in flight. */
+  readonly leastQuarantineMs?: number;
+  /** How long crashes are remembered after the last one, or after the quarantine. */
   readonly suspicionMs?: number;
   /** Most fingerprints remembered. */
   readonly capacity?: number;
@@ -20,12 +23,15 @@
 
 /** A quarantine that also takes in what other daemons counted. */
 export interface SharedQuarantine extends Quarantine {
-  /** Adds the crashes that the named daemon has counted in total for the fingerprint. */
-  mergeNotice(source: string, fingerprint: string, crashes: number): void;
+  /** `inFlight` is how many calls, this one included, the crash cut off. */
+  recordCrash(fingerprint: string, inFlight?: number): void;
+  /** Takes in what the named daemon has counted in total; the same notice twice changes nothing. */
+  mergeNotice(source: string, fingerprint: string, crashes: number, inFlight?: number): void;
 }
 
 const CRASH_LIMIT = 2;
 const QUARANTINE_MS = 600_000;
+const LEAST_QUARANTINE_MS = 60_000;
 const SUSPICION_MS = 600_000;
 const CAPACITY = 10_000;
 
@@ -33,13 +39,20 @@
   readonly own: number;
   /** Crashes counted by other daemons, by daemon. */
   readonly heard: ReadonlyMap<string, number>;
+  /** Fewest calls that any of the crashes cut off: the fewer, the surer the blame. */
+  readonly leastInFlight: number;
 }
 
 interface Suspect extends Counts {
+  readonly heldUntilMs: number;
   readonly expiresAtMs: number;
 }
 
-/** Creates a quarantine. Memory is bounded: the fingerprint unseen for longest goes first. */
+/**
+ * Creates a quarantine. A request that was in flight at two crashes is kept away, for a time that is
+ * shorter the more calls shared the blame; a success clears it. Memory is bounded: the fingerprint
+ * unseen for longest goes first.
+ */
 export function createQuarantine(options: QuarantineOptions): SharedQuarantine {
   return new CrashQuarantine(options);
 }
@@ -49,33 +62,31 @@
 
   private readonly clock: Clock;
 
-  private readonly crashLimit: number;
-
   public constructor(private readonly options: QuarantineOptions) {
     this.clock = options.clock;
-    this.crashLimit = options.crashLimit ?? CRASH_LIMIT;
   }
 
   public check(fingerprint: string): Refusal | undefined {
-    const suspect = this.find(fingerprint);
-    if (suspect === undefined || countCrashes(suspect) < this.crashLimit) return undefined;
-    return buildRefusal(RefusalKind.Quarantined, 'request coincided with upstream crashes', {
-      retryAfterMs: suspect.expiresAtMs - this.clock(),
-    });
+    const leftMs = (this.find(fingerprint)?.heldUntilMs ?? 0) - this.clock();
+    if (leftMs <= 0) return undefined;
+    const message = 'request coincided with upstream crashes';
+    return createNotRun(RefusalKind.Quarantined, message, leftMs);
   }
 
-  public recordCrash(fingerprint: string): void {
-    const known = this.find(fingerprint);
-    const own = (known?.own ?? 0) + 1;
-    this.hold(fingerprint, { own, heard: known?.heard ?? new Map() });
-    this.options.publish(fingerprint, own);
+  public recordCrash(fingerprint: string, inFlight = 1): void {
+    const known = this.find(fingerprint) ?? createCounts();
+    const own = known.own + 1;
+    const leastInFlight = Math.min(known.leastInFlight, inFlight);
+    this.hold(fingerprint, { own, heard: known.heard, leastInFlight });
+    this.options.publish(fingerprint, own, leastInFlight);
   }
 
-  public mergeNotice(source: string, fingerprint: string, crashes: number): void {
-    const known = this.find(fingerprint);
-    if ((known?.heard.get(source) ?? 0) >= crashes) return;
-    const heard = new Map(known?.heard).set(source, crashes);
-    this.hold(fingerprint, { own: known?.own ?? 0, heard });
+  public mergeNotice(source: string, fingerprint: string, crashes: number, inFlight = 1): void {
+    const known = this.find(fingerprint) ?? createCounts();
+    if ((known.heard.get(source) ?? 0) >= crashes) return;
+    const heard = new Map(known.heard).set(source, crashes);
+    const leastInFlight = Math.min(known.leastInFlight, inFlight);
+    this.hold(fingerprint, { own: known.own, heard, leastInFlight });
   }
 
   public recordSuccess(fingerprint: string): void {
@@ -83,14 +94,14 @@
   }
 
   public list(): readonly { fingerprint: string; untilMs: number; crashes: number }[] {
-    return [...this.suspects.keys()]
-      .map((fingerprint) => ({ fingerprint, suspect: this.find(fingerprint) }))
-      .map(({ fingerprint, suspect }) => ({
+    const nowMs = this.clock();
+    return [...this.suspects]
+      .filter(([, { heldUntilMs }]) => heldUntilMs > nowMs)
+      .map(([fingerprint, suspect]) => ({
         fingerprint,
-        untilMs: suspect?.expiresAtMs ?? 0,
-        crashes: suspect === undefined ? 0 : countCrashes(suspect),
-      }))
-      .filter(({ crashes }) => crashes >= this.crashLimit);
+        untilMs: suspect.heldUntilMs,
+        crashes: countCrashes(suspect),
+      }));
   }
 
   public close(): void {
@@ -105,20 +116,30 @@
   }
 
   private hold(fingerprint: string, counts: Counts): void {
-    const isHeld = countCrashes(counts) >= this.crashLimit;
-    const { quarantineMs = QUARANTINE_MS, suspicionMs = SUSPICION_MS } = this.options;
-    const expiresAtMs = this.clock() + (isHeld ? quarantineMs : suspicionMs);
+    const { crashLimit = CRASH_LIMIT, suspicionMs = SUSPICION_MS } = this.options;
+    const isHeld = countCrashes(counts) >= crashLimit;
+    const heldUntilMs = isHeld ? this.clock() + this.computeHeldMs(counts.leastInFlight) : 0;
+    const expiresAtMs = Math.max(this.clock(), heldUntilMs) + suspicionMs;
     this.suspects.delete(fingerprint);
-    this.suspects.set(fingerprint, { ...counts, expiresAtMs });
+    this.suspects.set(fingerprint, { ...counts, heldUntilMs, expiresAtMs });
     const { capacity = CAPACITY } = this.options;
     const [oldest] = this.suspects.keys();
     if (this.suspects.size > capacity && oldest !== undefined) this.suspects.delete(oldest);
   }
+
+  private computeHeldMs(leastInFlight: number): number {
+    const { quarantineMs = QUARANTINE_MS, leastQuarantineMs = LEAST_QUARANTINE_MS } = this.options;
+    return Math.max(Math.min(leastQuarantineMs, quarantineMs), quarantineMs / leastInFlight);
+  }
+}
+
+function createCounts(): Counts {
+  return { own: 0, heard: new Map(), leastInFlight: Infinity };
 }
 
-function countCrashes(suspect: Counts): number {
-  let crashes = suspect.own;
-  suspect.heard.forEach((count) => {
+function countCrashes(counts: Counts): number {
+  let crashes = counts.own;
+  counts.heard.forEach((count) => {
     crashes += count;
   });
   return crashes;
--- a/packages/traffic/src/__tests__/CactusdealTrafficSimulation.ts
+++ b/packages/traffic/src/__tests__/CactusdealTrafficSimulation.ts
@@ -1,6 +1,6 @@
 import type { Rank } from '@cactusdeal/schema';
-import { Heap } from '../CactusdealTrafficGateQueueHeap.js';
-import { createGateQueue, type Schedule } from '../index.js';
+import { createGateQueue } from '../index.js';
+import { createVirtualTime } from './CactusdealTrafficVirtualTime.js';
 
 /** A call of the simulation; times in milliseconds of virtual time. */
 export interface SimulatedCall {
@@ -35,8 +35,6 @@
   readonly inUse: number;
   readonly queued: number;
   readonly running: number;
-  /** Slots were taken away while all were in use. */
-  readonly isShrunk: boolean;
 }
 
 export interface SimulationResult {
@@ -44,26 +42,16 @@
   readonly observations: readonly Observation[];
 }
 
-interface TimedEvent {
-  readonly atMs: number;
-  run(): void;
-}
-
 /** Runs calls against a gate queue in virtual time, until nothing is left to happen. */
 export async function runSimulation(options: SimulationOptions): Promise<SimulationResult> {
-  let nowMs = 0;
   let running = 0;
-  const events = new Heap<TimedEvent>((left, right) => left.atMs - right.atMs);
+  const time = createVirtualTime();
+  const { clock, schedule } = time;
   const observations: Observation[] = [];
-  const schedule: Schedule = (run, delayMs) => {
-    const event = { atMs: nowMs + delayMs, run };
-    events.push(event);
-    return () => events.remove(event);
-  };
   const queue = createGateQueue({
     slots: options.slots,
     getQueueLimit: () => options.queueLimit,
-    clock: () => nowMs,
+    clock,
     schedule,
   });
   const outcomes = options.calls.map((call): SimulatedOutcome => ({ call, settlements: [] }));
@@ -75,29 +63,25 @@
     const controller = new AbortController();
     const { cancelAfterMs, patienceMs, serviceMs, ...request } = call;
     if (cancelAfterMs !== undefined) schedule(() => controller.abort(), cancelAfterMs);
-    const deadlineAtMs = nowMs + patienceMs;
+    const deadlineAtMs = clock() + patienceMs;
     const result = await queue.admit({ ...request, deadlineAtMs, signal: controller.signal });
     outcome.settlements.push(result.caseOf({ Left: ({ kind }) => kind, Right: () => 'ran' }));
     result.ifRight((slot) => {
       running += 1;
-      Object.assign(outcome, { startedAtMs: nowMs });
+      Object.assign(outcome, { startedAtMs: clock() });
       schedule(() => {
         running -= 1;
-        Object.assign(outcome, { endedAtMs: nowMs });
+        Object.assign(outcome, { endedAtMs: clock() });
         slot.release();
         slot.release();
       }, serviceMs);
     });
   }
 
-  for (let event = events.peek(); event !== undefined; event = events.peek()) {
-    events.remove(event);
-    nowMs = event.atMs;
-    event.run();
-    await new Promise(setImmediate);
+  await time.run(() => {
     const gauges = queue.getGauges();
-    observations.push({ ...gauges, running, isShrunk: gauges.inUse > gauges.slots });
-  }
+    observations.push({ ...gauges, running });
+  });
   queue.close();
   return { outcomes, observations };
 }
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -1,3 +1,4 @@
+export { buildIdempotencyKey } from './CactusdealTrafficClaimsKey.js';
 export { type ClaimsOptions, createClaims } from './CactusdealTrafficClaims.js';
 export {
   createGateQueue,
