Date the deadlines of claims, which the gate measures by a clock that never goes back

Cause: the gate's deadlines are by the monotonic clock, the claims compare them with the wall clock, so every claim came too late. Ruled out: one wall clock for all (a step of the clock would end or extend every call); one monotonic clock dated once (drifts). Conclusion: the wiring converts the time that is left.

--- a/packages/daemon/src/CactusdealDaemonWiring.ts
+++ b/packages/daemon/src/CactusdealDaemonWiring.ts
@@ -11,6 +11,7 @@
 } from '@cactusdeal/traffic';
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { listAdminRoutes } from './CactusdealDaemonAdmin.js';
+import { convertClaimDeadlines } from './CactusdealDaemonClaims.js';
 import { createDirectory } from './CactusdealDaemonDirectory.js';
 import { type HttpListener, startHttpListener } from './CactusdealDaemonHttp.js';
 import { createMeshQuarantine, startMesh } from './CactusdealDaemonMesh.js';
@@ -93,7 +94,11 @@
   });
   const holderId = settings.id;
   const { random } = Math;
-  const claims = createClaims({ platform, holderId, clock: getWallTimeMs, log, random });
+  const datedClaims = createClaims({ platform, holderId, clock: getWallTimeMs, log, random });
+  const claims = convertClaimDeadlines(datedClaims, {
+    gate: getMonotonicMs,
+    wall: getWallTimeMs,
+  });
   const quarantine = createMeshQuarantine(mesh, settings.id, getWallTimeMs);
   holder.observe(directory.refresh);
   mesh.observeMembers(directory.refresh);
