--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,7 @@
   cancel check choose claim close collect commit compare compute confirm connect convert count create
   decode diff discard drain
   emit encode evict expand explain
-  fetch fill find finish flush format forward
+  fetch fill find finish fit flush format forward
   get grant group
   handle has hash hold
   invariant is
--- a/packages/daemon/src/CactusdealDaemonRoles.ts
+++ b/packages/daemon/src/CactusdealDaemonRoles.ts
@@ -35,14 +35,20 @@
     }),
     tasks: [
       (signal) => readLog(parts, signal),
-      (signal) => runSurveys({ ...parts, clock: getWallTimeMs, signal }),
+      (signal) =>
+        runSurveys({
+          ...parts,
+          clock: getWallTimeMs,
+          isSurveyor: () => isAmongFirst(parts, 1),
+          signal,
+        }),
     ],
   });
   const checkpointer = writeCheckpoints(parts, reader.isReading, stop.signal);
   const roster = createRoster({
     ...buildSlotOptions(parts, parts.mesh.getSelf().meshAddress, stop.signal),
     leaseMs: ROSTER_LEASE_MS,
-    isCandidate: () => isRosterCandidate(parts),
+    isCandidate: () => isAmongFirst(parts, ROSTER_SLOTS),
   });
   return {
     isReading: reader.isReading,
@@ -62,8 +68,9 @@
   return { platform, dataCentre, memberId, meshAddress, clock: getMonotonicMs, signal, log };
 }
 
-function isRosterCandidate({ mesh, settings }: Parts): boolean {
-  return selectReaders(mesh.getMembers(), ROSTER_SLOTS).some(({ id }) => id === settings.id);
+/** Whether this daemon is among the `count` first of its data centre, by the order of the readers. */
+function isAmongFirst({ mesh, settings }: Parts, count: number): boolean {
+  return selectReaders(mesh.getMembers(), count).some(({ id }) => id === settings.id);
 }
 
 function readLog({ platform, holder, mesh, log }: Parts, signal: AbortSignal): Promise<void> {
--- a/packages/daemon/src/CactusdealDaemonSurvey.ts
+++ b/packages/daemon/src/CactusdealDaemonSurvey.ts
@@ -31,12 +31,18 @@
   readonly platform: Platform;
   readonly clock: Clock;
   readonly log: Log;
+  /** Whether this reader, of those of the data centre, is the one to survey now. */
+  readonly isSurveyor: () => boolean;
   readonly signal: AbortSignal;
 }): Promise<void> {
-  const { holder, signal } = options;
+  const { holder, signal, isSurveyor } = options;
   let written: PlatformRecord | undefined;
   let last: DataCentreStatus | undefined;
   while (!signal.aborted) {
+    if (!isSurveyor()) {
+      await waitMs(PAUSE_MS, signal);
+      continue;
+    }
     const status = await surveyDataCentre(options);
     if (last === undefined || hasChanged(last, status)) {
       written = await writeStatus(options.platform, status, written);
