Prove detection, links and frames with many meshes behind relays

Cause: a refusal never reached a peer whose frame was broken: leaving the read loop destroyed the socket first (seen: no answer at all to an oversized frame); an eastern candidate that nobody had dialled did not know the west. Ruled out: closing at once after the refusal (a reset overtakes it); asking the platform for readers each time. Conclusion: refusals linger until the peer closes or a second passed; readers heard over a link spread with it.

--- a/packages/mesh/src/CactusdealMesh.ts
+++ b/packages/mesh/src/CactusdealMesh.ts
@@ -12,12 +12,25 @@
 /** Time that a departing daemon gives its last messages, in milliseconds. */
 const LEAVE_MS = 50;
 
+/** A mesh that can also end as a killed process does. */
+export interface MeshNode {
+  readonly mesh: Mesh;
+  /** Closes every connection without a word to the others. */
+  kill(): Promise<void>;
+}
+
 /**
  * Binds the listener and starts the tasks of one daemon's mesh.
  *
  * Rejects with the system's error when the listener cannot be bound.
  */
 export async function createMesh(options: MeshOptions): Promise<Mesh> {
+  const { mesh } = await createMeshNode(options);
+  return mesh;
+}
+
+/** As `createMesh`, for tests and benchmarks that kill nodes. */
+export async function createMeshNode(options: MeshOptions): Promise<MeshNode> {
   const stop = new AbortController();
   setMaxListeners(0, stop.signal);
   let accept: (socket: Socket) => void = (socket) => socket.destroy();
@@ -27,7 +40,10 @@
     void acceptSocket(parts, socket);
   };
   startTasks(parts);
-  return createFacade(parts, listener, stop);
+  return {
+    mesh: createFacade(parts, listener, stop),
+    kill: () => closeParts(parts, listener, stop),
+  };
 }
 
 function createFacade(parts: MeshParts, listener: Listener, stop: AbortController): Mesh {
@@ -45,9 +61,15 @@
     observeNotices: (listener_) =>
       notices.received.observe(({ topic, value }) => listener_(topic, value)),
     survey: (version, timeoutMs) => runSurvey(parts, version, timeoutMs),
+    getNeighbours: () => [...parts.overlay.listPeers()].map((peer) => peer.id),
     getCounters: () => readCounters(parts),
     isReaderCandidate: () => parts.readers.isChosen(parts.options.id),
-    close: () => closeParts(parts, listener, stop),
+    close: async () => {
+      if (stop.signal.aborted) return;
+      membership.leave();
+      await waitMs(LEAVE_MS);
+      await closeParts(parts, listener, stop);
+    },
   };
 }
 
@@ -78,11 +100,12 @@
   stop: AbortController,
 ): Promise<void> {
   if (stop.signal.aborted) return;
-  parts.membership.leave();
-  await waitMs(LEAVE_MS);
+  const hasLeft = parts.members.getSelf().state === 'left';
   stop.abort();
-  const peers = [...parts.overlay.listPeers()];
-  peers.forEach((peer) => parts.overlay.release(peer, MeshFailureKind.Left));
+  [...parts.overlay.listPeers()].forEach((peer) => {
+    if (hasLeft) parts.overlay.release(peer, MeshFailureKind.Left);
+    else peer.connection.destroy();
+  });
   parts.links.close();
   await listener.close();
   parts.members.changes.close();
--- a/packages/mesh/src/CactusdealMeshConnection.ts
+++ b/packages/mesh/src/CactusdealMeshConnection.ts
@@ -8,6 +8,9 @@
 /** Most bytes that may wait for a peer to take them. */
 const MAX_QUEUED_BYTES = 16 * 1024 * 1024;
 
+/** Longest wait for a peer to close its side as well. */
+const LINGER_MS = 1000;
+
 /** Totals of what crossed connections, by direction; bytes with the frames' lengths. */
 export interface TrafficTotals {
   readonly sentBytes: number;
@@ -40,6 +43,9 @@
   readonly remoteAddress: string;
 }
 
+/** Opens a socket to an address; throws FailureError of kind PeerUnreachable. */
+export type OpenSocket = (address: string, timeoutMs: number) => Promise<Socket>;
+
 /** Creates counters that start at zero. */
 export function createTrafficCounters(): TrafficCounters {
   const totals = { sentBytes: 0, sentFrames: 0, receivedBytes: 0, receivedFrames: 0 };
@@ -73,12 +79,15 @@
       if (socket.writableLength > MAX_QUEUED_BYTES) socket.destroy();
     },
     receive: async () => {
-      const next = await frames.next().catch(toUnreachable);
+      const next = await frames.next().catch((caught: unknown) => {
+        socket.resume();
+        return toUnreachable(caught);
+      });
       if (next.done) return undefined;
       counters.addReceivedFrame();
       return parseMessage(next.value);
     },
-    close: () => socket.end(() => socket.destroySoon()),
+    close: () => closeSocket(socket),
     destroy: () => socket.destroy(),
     isClosed: () => socket.destroyed || !socket.writable,
     useCounters: (next) => {
@@ -152,6 +161,14 @@
   return createMeshFailure(MeshFailureKind.MessageUnknown, `${message.type} before the hello`);
 }
 
+/** Sends the end and waits a bounded time for the peer's, so that no reset overtakes the data. */
+function closeSocket(socket: Socket): void {
+  if (socket.destroyed) return;
+  socket.end();
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+  socket.once('close', () => clearTimeout(timer));
+}
+
 function toUnreachable(caught: unknown): never {
   if (caught instanceof FailureError) throw caught;
   throw new FailureError(createMeshFailure(MeshFailureKind.Unreachable, formatCaught(caught)));
@@ -161,7 +178,8 @@
   socket: Socket,
   record: (bytes: number) => void,
 ): AsyncGenerator<Buffer, void, undefined> {
-  for await (const chunk of socket) {
+  // A broken frame must not destroy the socket before the refusal is sent.
+  for await (const chunk of socket.iterator({ destroyOnReturn: false })) {
     record((chunk as Buffer).length);
     yield chunk as Buffer;
   }
--- a/packages/mesh/src/CactusdealMeshHandshake.ts
+++ b/packages/mesh/src/CactusdealMeshHandshake.ts
@@ -4,7 +4,7 @@
 import {
   createConnection,
   type MeshConnection,
-  openSocket,
+  type OpenSocket,
   receiveHello,
   type TrafficCounters,
 } from './CactusdealMeshConnection.js';
@@ -42,6 +42,7 @@
   readonly cluster: string;
   readonly getSelf: () => MemberRecord;
   readonly timeoutMs: number;
+  readonly openSocket: OpenSocket;
   readonly counters: Readonly<Record<'local' | 'remote', TrafficCounters>>;
 }
 
@@ -61,7 +62,7 @@
   return {
     createHello,
     dial: async (address, purpose, dataCentre) => {
-      const socket = await openSocket(address, options.timeoutMs);
+      const socket = await options.openSocket(address, options.timeoutMs);
       const connection = createConnection(socket, selectCounters(purpose));
       connection.send(createHello(purpose));
       try {
--- a/packages/mesh/src/CactusdealMeshLinkSession.ts
+++ b/packages/mesh/src/CactusdealMeshLinkSession.ts
@@ -15,6 +15,8 @@
   readonly connection: MeshConnection;
   /** By the monotonic clock. */
   lastReceivedMs: number;
+  /** Readers of the other data centre, as the peer last stated them. */
+  readers: readonly string[];
   /** Consecutive digests in which the peer held other services of this data centre than there are. */
   mismatchedDigests: number;
 }
@@ -26,8 +28,6 @@
   readonly view: RemoteView;
   readonly source: SummarySource;
   readonly listReaderAddresses: () => readonly string[];
-  /** Remembers where the other data centre's readers are. */
-  readonly onReaders: (dataCentre: string, addresses: readonly string[]) => void;
   readonly digestMs: number;
   readonly clock: Clock;
   readonly random: Random;
@@ -80,6 +80,12 @@
     session.send(source.createFull());
   }
 
+  function updateReaders(session: LinkSession, readers: readonly string[]): void {
+    if (readers.join(' ') === session.readers.join(' ')) return;
+    Object.assign(session, { readers });
+    view.setLink(session.dataCentre, true, readers);
+  }
+
   exchange.register(router);
   router.handle('pull', (session, { headVersion }) => exchange.sendMissing(session, headVersion));
   router.handle('summaries', ({ dataCentre }, message) => {
@@ -87,7 +93,7 @@
     view.takeSummaries(dataCentre, message.stampMs, own, message.isFull);
   });
   router.handle('link-digest', (session, message) => {
-    options.onReaders(session.dataCentre, message.readers);
+    updateReaders(session, message.readers);
     checkSummaries(session, message.summaryHash, message.summaryStampMs);
     if (message.version > state.getHeadVersion()) void fetchMissing(session, message.version);
   });
--- a/packages/mesh/src/CactusdealMeshLinks.ts
+++ b/packages/mesh/src/CactusdealMeshLinks.ts
@@ -52,15 +52,8 @@
 export function createLinks(options: LinkOptions): Links {
   const { handshake, view, source, random, signal, log, clock } = options;
   const sessions = new Set<LinkSession>();
-  const knownReaders = new Map<string, readonly string[]>();
   const seeking = new Set<string>();
-  const router = createLinkRouter({
-    ...options,
-    onReaders: (dataCentre, addresses) => {
-      knownReaders.set(dataCentre, addresses);
-      options.onReaders(dataCentre, addresses);
-    },
-  });
+  const router = createLinkRouter(options);
   let summariesAtMs = -Infinity;
   let isAnnouncing = false;
 
@@ -74,10 +67,17 @@
       .forEach((session) => session.connection.destroy());
     const { id, dataCentre } = hello;
     const { send } = connection;
-    const lastReceivedMs = clock();
-    const session = { id, dataCentre, connection, send, lastReceivedMs, mismatchedDigests: 0 };
+    const session: LinkSession = {
+      id,
+      dataCentre,
+      connection,
+      send,
+      lastReceivedMs: clock(),
+      readers: [hello.meshAddress],
+      mismatchedDigests: 0,
+    };
     sessions.add(session);
-    view.setLink(dataCentre, true);
+    view.setLink(dataCentre, true, session.readers);
     void runSession(session);
     send(createLinkDigest(options, dataCentre));
     send(source.createFull());
@@ -100,7 +100,9 @@
     }
     connection.close();
     sessions.delete(session);
-    if (!signal.aborted && listSessions(dataCentre).length === 0) view.setLink(dataCentre, false);
+    if (!signal.aborted && listSessions(dataCentre).length === 0) {
+      view.setLink(dataCentre, false, session.readers);
+    }
     log.info('mesh-link-down', { peer: session.id, remoteDataCentre: dataCentre });
   }
 
@@ -123,7 +125,7 @@
   }
 
   async function connect(dataCentre: string): Promise<boolean> {
-    const remembered = pickRandom(knownReaders.get(dataCentre) ?? [], ADDRESSES_PER_ROUND, random);
+    const remembered = pickRandom(view.listReaders(dataCentre), ADDRESSES_PER_ROUND, random);
     const contacts = options.remoteContacts[dataCentre] ?? [];
     const known = [...remembered, ...pickRandom(contacts, ADDRESSES_PER_ROUND, random)];
     if (await tryAll(dataCentre, known)) return true;
@@ -208,7 +210,7 @@
       while (!signal.aborted) {
         const dataCentres = new Set([
           ...Object.keys(options.remoteContacts),
-          ...knownReaders.keys(),
+          ...view.listDataCentres(),
         ]);
         if (options.isCandidate()) dataCentres.forEach(startSeeking);
         else sessions.forEach((session) => session.connection.close());
--- a/packages/mesh/src/CactusdealMeshOptions.ts
+++ b/packages/mesh/src/CactusdealMeshOptions.ts
@@ -1,4 +1,5 @@
 import type { Clock, Log, Random } from '@cactusdeal/shared';
+import type { OpenSocket } from './CactusdealMeshConnection.js';
 import type { MeshState } from './CactusdealMeshTypes.js';
 
 /** What a daemon's settings and parts give its mesh. Times in milliseconds. */
@@ -23,6 +24,8 @@
   readonly log: Log;
   readonly clock?: Clock;
   readonly random?: Random;
+  /** Opens a socket to a peer's address; plain TCP when absent. */
+  readonly openSocket?: OpenSocket;
   /** Asked for mesh addresses only when settings and remembered members lead nowhere. */
   readonly findContacts?: () => Promise<readonly string[]>;
   /** Asked for readers of another data centre only when no known address leads there. */
--- a/packages/mesh/src/CactusdealMeshParts.ts
+++ b/packages/mesh/src/CactusdealMeshParts.ts
@@ -1,7 +1,11 @@
 import type { MemberRecord } from '@cactusdeal/schema';
 import { type Clock, getMonotonicMs, getWallTimeMs, type Random } from '@cactusdeal/shared';
 import { type Broadcast, createBroadcast } from './CactusdealMeshBroadcast.js';
-import { createTrafficCounters, type TrafficCounters } from './CactusdealMeshConnection.js';
+import {
+  createTrafficCounters,
+  openSocket,
+  type TrafficCounters,
+} from './CactusdealMeshConnection.js';
 import { createDetector, type Detector } from './CactusdealMeshDetector.js';
 import {
   createDissemination,
@@ -130,6 +134,7 @@
     cluster: options.cluster,
     getSelf: members.getSelf,
     timeoutMs: getProbeTimeoutMs(options),
+    openSocket: options.openSocket ?? openSocket,
     counters,
   });
   const router = createRouter<Peer>();
@@ -237,7 +242,6 @@
     source: createSummarySource(options.dataCentre, members.list, clock),
     isCandidate: () => readers.isChosen(options.id),
     listReaderAddresses: () => readers.list().map((record) => record.meshAddress),
-    onReaders: () => {},
     remoteContacts: options.remoteContacts,
     findRemoteReaders: options.findRemoteReaders ?? findNone,
     readersPerDataCentre: options.readersPerDataCentre,
--- a/packages/mesh/src/CactusdealMeshRemoteView.ts
+++ b/packages/mesh/src/CactusdealMeshRemoteView.ts
@@ -29,8 +29,12 @@
   getStamp(dataCentre: string): number;
   /** Services held of a data centre, linked or not. */
   listHeld(dataCentre: string): readonly ServiceSummary[];
-  /** Spreads whether this daemon has a link to the data centre. */
-  setLink(dataCentre: string, isUp: boolean): void;
+  /** Spreads whether this daemon has a link to the data centre, and who its readers are. */
+  setLink(dataCentre: string, isUp: boolean, readers: readonly string[]): void;
+  /** Data centres of which anything is known. */
+  listDataCentres(): readonly string[];
+  /** Mesh addresses of the readers there, as last heard by any member of this data centre. */
+  listReaders(dataCentre: string): readonly string[];
   /** Expires what lost its link and forgets old removals; tells the observers of a change. */
   review(): void;
   readonly changes: Channel<readonly ServiceSummary[]>;
@@ -49,6 +53,8 @@
 /** How long a removed service is remembered. */
 const REMOVAL_RETENTION_MS = 600_000;
 const ITEMS_PER_BROADCAST = 64;
+/** Remembered readers of one data centre. */
+const MAX_READERS = 8;
 
 const validateItem = createValidator<RemoteItem>('messages#/definitions/RemoteItem');
 
@@ -157,9 +163,17 @@
       listItems(dataCentre)
         .flatMap((item) => item.summary ?? [])
         .filter((summary) => !isRemoval(summary)),
-    setLink: (dataCentre, isUp) => {
-      const link = { memberId: options.memberId, isUp };
-      publish(mergeAll([{ dataCentre, stampMs: clock(), link }]));
+    setLink: (dataCentre, isUp, readers) => {
+      const link = { memberId: options.memberId, isUp, readers: [...readers] };
+      const key = getItemKey({ dataCentre, stampMs: 0, link });
+      const knownMs = rows.get(key)?.item.stampMs ?? 0;
+      publish(mergeAll([{ dataCentre, stampMs: Math.max(clock(), knownMs + 1), link }]));
+    },
+    listDataCentres: () => [...new Set(listItems().map((item) => item.dataCentre))],
+    listReaders: (dataCentre) => {
+      const heard = listItems(dataCentre).filter((item) => item.link !== undefined);
+      heard.sort((first, second) => second.stampMs - first.stampMs);
+      return [...new Set(heard.flatMap((item) => item.link?.readers ?? []))].slice(0, MAX_READERS);
     },
     review: () => {
       updateBelief();
--- a/packages/mesh/src/CactusdealMeshTasks.ts
+++ b/packages/mesh/src/CactusdealMeshTasks.ts
@@ -67,10 +67,11 @@
 }
 
 async function runHeartbeats(parts: MeshParts): Promise<void> {
-  const { options, overlay, detector, members, view, signal } = parts;
+  const { options, detector, members, view, signal } = parts;
   let tickedAtMs = getMonotonicMs();
   while (!signal.aborted) {
     await waitMs(options.heartbeatMs, signal);
+    if (signal.aborted) return;
     const nowMs = getMonotonicMs();
     const isPaused = nowMs - tickedAtMs > PAUSE_HEARTBEATS * options.heartbeatMs;
     tickedAtMs = nowMs;
@@ -80,7 +81,6 @@
     members.discardExpired();
     view.review();
   }
-  [...overlay.listPeers()].forEach((peer) => peer.connection.close());
 }
 
 function sendHeartbeats({ overlay, detector }: MeshParts, silentBeforeMs: number): void {
@@ -103,7 +103,7 @@
 async function runFlushes({ options, broadcast, signal }: MeshParts): Promise<void> {
   while (!signal.aborted) {
     await waitMs(options.heartbeatMs / FLUSHES_PER_HEARTBEAT, signal);
-    broadcast.flush();
+    if (!signal.aborted) broadcast.flush();
   }
 }
 
--- a/packages/mesh/src/CactusdealMeshTypes.ts
+++ b/packages/mesh/src/CactusdealMeshTypes.ts
@@ -60,6 +60,8 @@
   survey(version: number, timeoutMs: number): Promise<SurveyResult>;
   /** Counters for metrics: bytes and frames by direction and scope (`local` or `remote`). */
   getCounters(): Readonly<Record<string, number>>;
+  /** Ids of the members to which this daemon holds connections. */
+  getNeighbours(): readonly string[];
   /** Whether this daemon is among the reader candidates of its data centre, from membership alone. */
   isReaderCandidate(): boolean;
   /** Leaves: tells the peers, flushes, closes every connection and the listener. */
--- a/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import type { LogEntry, Snapshot } from '@cactusdeal/schema';
 import { createSeededRandom, createSilentLog, waitMs } from '@cactusdeal/shared';
-import { createMesh } from '../../CactusdealMesh.js';
+import { createMeshNode, type MeshNode } from '../../CactusdealMesh.js';
 import type { MeshOptions } from '../../CactusdealMeshOptions.js';
 import type { Mesh, MeshState } from '../../CactusdealMeshTypes.js';
 
@@ -64,8 +64,13 @@
 }
 
 /** Starts one mesh with short times and a fixed seed. */
-export function startMesh(id: string, changes: Partial<MeshOptions> = {}): Promise<Mesh> {
-  return createMesh({
+export async function startMesh(id: string, changes: Partial<MeshOptions> = {}): Promise<Mesh> {
+  return (await startNode(id, changes)).mesh;
+}
+
+/** As `startMesh`, for tests that kill the node. */
+export function startNode(id: string, changes: Partial<MeshOptions> = {}): Promise<MeshNode> {
+  return createMeshNode({
     cluster: 'test',
     dataCentre: 'east',
     id,
@@ -107,3 +112,26 @@
 export function countAlive(mesh: Mesh): number {
   return mesh.getMembers().filter((record) => record.state === 'alive').length;
 }
+
+/** Ids that a mesh holds as alive, in order. */
+export function listAlive(mesh: Mesh): string[] {
+  return mesh
+    .getMembers()
+    .filter((record) => record.state === 'alive')
+    .map((record) => record.id)
+    .sort();
+}
+
+/** Counts the meshes that can be reached from the first over open connections. */
+export function countConnected(meshes: readonly Mesh[]): number {
+  const byId = new Map(meshes.map((mesh) => [mesh.getSelf().id, mesh]));
+  const reached = new Set<string>();
+  const queue = [...byId.keys()].slice(0, 1);
+  while (queue.length > 0) {
+    const id = queue.pop() as string;
+    if (reached.has(id)) continue;
+    reached.add(id);
+    queue.push(...(byId.get(id)?.getNeighbours() ?? []));
+  }
+  return reached.size;
+}
--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -45,14 +45,6 @@
   meshAddress: string;
   callsAddress: string;
   adminAddress: string;
-  /**
-   * Mesh address for other data centres; the mesh address when absent.
-   */
-  remoteMeshAddress?: string;
-  /**
-   * Calls address for other data centres; the calls address when absent.
-   */
-  remoteCallsAddress?: string;
   /**
    * State of the daemon itself.
    */
@@ -419,6 +411,12 @@
 export interface LinkState {
   memberId: string;
   isUp: boolean;
+  /**
+   * Mesh addresses of the reader candidates there.
+   *
+   * @maxItems 8
+   */
+  readers: string[];
 }
 
 /** The schema itself, for validation at run time. */
@@ -628,14 +626,6 @@
         "adminAddress": {
           "type": "string"
         },
-        "remoteMeshAddress": {
-          "description": "Mesh address for other data centres; the mesh address when absent.",
-          "type": "string"
-        },
-        "remoteCallsAddress": {
-          "description": "Calls address for other data centres; the calls address when absent.",
-          "type": "string"
-        },
         "state": {
           "description": "State of the daemon itself.",
           "enum": [
@@ -1034,7 +1024,8 @@
           "additionalProperties": false,
           "required": [
             "memberId",
-            "isUp"
+            "isUp",
+            "readers"
           ],
           "properties": {
             "memberId": {
@@ -1044,6 +1035,16 @@
             },
             "isUp": {
               "type": "boolean"
+            },
+            "readers": {
+              "description": "Mesh addresses of the reader candidates there.",
+              "type": "array",
+              "maxItems": 8,
+              "items": {
+                "type": "string",
+                "minLength": 1,
+                "maxLength": 64
+              }
             }
           }
         }
