--- a/packages/mesh/src/CactusdealMeshLinks.ts
+++ b/packages/mesh/src/CactusdealMeshLinks.ts
@@ -73,7 +73,7 @@
       connection,
       send,
       lastReceivedMs: clock(),
-      readers: [hello.meshAddress],
+      readers: [],
       mismatchedDigests: 0,
     };
     sessions.add(session);
--- a/packages/mesh/src/__tests__/unit/CactusdealMeshFailures.test.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFailures.test.ts
@@ -60,7 +60,13 @@
 /** A log that records the events written to it. */
 function createEventLog(events: string[]): Log {
   const record = (event: string) => events.push(event);
-  const log: Log = { info: record, warn: record, error: record, with: () => log };
+  const log: Log = {
+    debug: record,
+    info: record,
+    warn: record,
+    error: record,
+    with: () => log,
+  };
   return log;
 }
 
@@ -118,10 +124,16 @@
       mesh.getMembers().find((record) => record.id === 'frozen')?.state;
     try {
       await waitUntil(() => meshes.every((mesh) => countAlive(mesh) === 8), 'all know all');
+      const seen = watchStates([frozen]);
       around.stall();
       own.stall();
       await waitUntil(() => others.every((mesh) => getState(mesh) === 'dead'), 'it is dead');
       assert.ok(others.every((mesh) => countAlive(mesh) === 7));
+      // Cut off from all, it cannot tell who is lost, and blames nobody.
+      assert.deepEqual(
+        [...seen].filter((state) => /dead|suspect/.test(state)),
+        [],
+      );
       around.heal();
       own.heal();
       await waitUntil(() => meshes.every((mesh) => countAlive(mesh) === 8), 'it is back');
--- a/packages/mesh/src/__tests__/unit/CactusdealMeshLinks.test.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshLinks.test.ts
@@ -3,19 +3,23 @@
 import type { Worker } from '@cactusdeal/schema';
 import { FaultDirection, type FaultProxy, startFaultProxy } from '@cactusdeal/testing';
 import { openSocket, type OpenSocket } from '../../CactusdealMeshConnection.js';
+import {
+  createCountedEntry,
+  createCountingState,
+  type CountingState,
+} from '../../bench/CactusdealMeshBenchState.js';
 import type { Mesh } from '../../CactusdealMeshTypes.js';
 import {
   closeMeshes,
   countAlive,
-  createEntry,
-  createFakeState,
+  KEPT_ENTRIES,
   startMesh,
   waitUntil,
 } from './CactusdealMeshFixture.js';
 
 const SIZE = 5;
 
-type State = ReturnType<typeof createFakeState>;
+type State = CountingState;
 
 interface World {
   readonly east: readonly Mesh[];
@@ -55,8 +59,8 @@
   }
 
   const states = {
-    east: Array.from({ length: SIZE }, () => createFakeState()),
-    west: Array.from({ length: SIZE }, () => createFakeState()),
+    east: Array.from({ length: SIZE }, () => createCountingState(KEPT_ENTRIES)),
+    west: Array.from({ length: SIZE }, () => createCountingState(KEPT_ENTRIES)),
   };
   for (let index = 0; index < SIZE; index += 1) {
     const contacts = east.map((mesh) => mesh.getSelf().meshAddress);
@@ -139,8 +143,8 @@
   it('bring a data centre up that is cut off from the platform, also after a long time', () =>
     withWorld(async ({ east, states }) => {
       for (let version = 1; version <= 3; version += 1) {
-        states.east[0]?.acceptEntry(createEntry(version));
-        east[0]?.publishEntry(createEntry(version));
+        states.east[0]?.acceptEntry(createCountedEntry(version));
+        east[0]?.publishEntry(createCountedEntry(version));
       }
       await waitUntil(() => states.west.every((state) => state.version === 3), 'version 3');
     }));
@@ -148,20 +152,20 @@
   it('leave a cut-off data centre with what it holds, and mend when they return', () =>
     withWorld(async ({ east, west, states, setCut, startWest }) => {
       east[1]?.setWorker(createWorker('ready'));
-      states.east[0]?.acceptEntry(createEntry(1));
-      east[0]?.publishEntry(createEntry(1));
+      states.east[0]?.acceptEntry(createCountedEntry(1));
+      east[0]?.publishEntry(createCountedEntry(1));
       await waitUntil(() => states.west.every((state) => state.version === 1), 'version 1');
       await waitUntil(() => west.every((mesh) => countSlots(mesh) === 4), 'the service');
       setCut(true);
       await waitUntil(() => west.every((mesh) => countSlots(mesh) === 0), 'no longer believed');
 
       await west.pop()?.close();
-      const restarted = createFakeState();
+      const restarted = createCountingState(KEPT_ENTRIES);
       states.west.splice(SIZE - 1, 1, restarted);
       west.push(await startWest('w4', restarted));
       await waitUntil(() => restarted.version === 1, 'a restarted daemon learns from its peers');
-      states.east[0]?.acceptEntry(createEntry(2));
-      east[0]?.publishEntry(createEntry(2));
+      states.east[0]?.acceptEntry(createCountedEntry(2));
+      east[0]?.publishEntry(createCountedEntry(2));
       await waitUntil(() => states.east.every((state) => state.version === 2), 'version 2 there');
       assert.ok(states.west.every((state) => state.version === 1));
 
--- a/packages/traffic/src/CactusdealTrafficEntry.ts
+++ b/packages/traffic/src/CactusdealTrafficEntry.ts
@@ -1,10 +1,11 @@
 import type { CompleteSettings } from '@cactusdeal/schema';
 import type { Clock, Log } from '@cactusdeal/shared';
 import { type AttemptResult, sendAttempt } from './CactusdealTrafficAttempt.js';
-import { type Balancer, type Choice, GateSign } from './CactusdealTrafficBalancer.js';
+import type { Balancer, Choice } from './CactusdealTrafficBalancer.js';
 import type { Call, CallEnd } from './CactusdealTrafficCall.js';
 import { buildTreeHeaders, explainFailure } from './CactusdealTrafficGate.js';
-import { CallHeader, findHeader } from './CactusdealTrafficHeaders.js';
+import { GateSign } from './CactusdealTrafficGateState.js';
+import { CallHeader } from './CactusdealTrafficHeaders.js';
 import type { TrafficMetrics } from './CactusdealTrafficMetrics.js';
 import type { Pools } from './CactusdealTrafficPools.js';
 import { createNotRun } from './CactusdealTrafficRefusal.js';
@@ -17,7 +18,7 @@
   readonly budget: RetryBudget;
   /** Connections to gates. */
   readonly pools: Pools;
-  readonly settings: CompleteSettings['calls'];
+  readonly settings: Pick<CompleteSettings['calls'], 'idleTimeoutMs'>;
   readonly metrics: TrafficMetrics;
   readonly log: Log;
   readonly clock: Clock;
@@ -90,7 +91,6 @@
 
 async function sendToGate(parts: EntryParts, call: Call, gate: Gate): Promise<CallEnd> {
   const { sink } = call;
-  let upstreamMs = 0;
   const result = await sendAttempt({
     dispatcher: parts.pools.get(gate.address),
     method: call.method,
@@ -105,22 +105,21 @@
     signal: call.life.signal,
     idleTimeoutMs: parts.settings.idleTimeoutMs,
     toDaemon: true,
+    queuedMs: 0,
     clock: parts.clock,
     sink: {
       ...sink,
-      start: (status, rawHeaders, resume) => {
-        upstreamMs = Number(findHeader(rawHeaders, CallHeader.UpstreamMs) ?? 0);
+      start: (head, resume) => {
         call.life.stopDeadline();
-        sink.start(status, rawHeaders, resume);
+        sink.start(head, resume);
       },
     },
   });
-  return toCallEnd(call, result, upstreamMs);
+  return toCallEnd(call, result);
 }
 
-function toCallEnd(call: Call, result: AttemptResult, upstreamMs: number): CallEnd {
-  if (result.type === 'answered') return { type: 'answered', upstreamMs };
-  if (result.type === 'refused') return result;
+function toCallEnd(call: Call, result: AttemptResult): CallEnd {
+  if (result.type !== 'failed') return result;
   if (result.started) return { type: 'cut' };
   return { type: 'refused', refusal: explainFailure(call, result) };
 }
@@ -134,9 +133,11 @@
     case RefusalKind.QueueFull:
     case RefusalKind.Shed:
     case RefusalKind.DeadlineUnmeetable:
+      return GateSign.Busy;
     case RefusalKind.Draining:
     case RefusalKind.NoUpstream:
-      return GateSign.Refused;
+    case RefusalKind.NoRoute:
+      return GateSign.Closed;
     default:
       return GateSign.None;
   }
