--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -419,6 +419,12 @@
 export interface LinkState {
   memberId: string;
   isUp: boolean;
+  /**
+   * Mesh addresses of the reader candidates there.
+   *
+   * @maxItems 8
+   */
+  readers: string[];
 }
 
 /** The schema itself, for validation at run time. */
@@ -1034,7 +1040,8 @@
           "additionalProperties": false,
           "required": [
             "memberId",
-            "isUp"
+            "isUp",
+            "readers"
           ],
           "properties": {
             "memberId": {
@@ -1044,6 +1051,16 @@
             },
             "isUp": {
               "type": "boolean"
+            },
+            "readers": {
+              "description": "Mesh addresses of the reader candidates there.",
+              "type": "array",
+              "maxItems": 8,
+              "items": {
+                "type": "string",
+                "minLength": 1,
+                "maxLength": 64
+              }
             }
           }
         }
