Add the load tool and the flood benchmark in process

Cause: the gate queue's policy had no measurement against the queue it replaces. Ruled out: latency from the time of sending, which hides the wait of calls that a busy tool sends late; counting slot time while the load fills up or runs empty, which read as 0.92 of capacity.

--- /dev/null
+++ b/packages/bench/src/CactusdealBenchFloodMain.ts
@@ -0,0 +1,21 @@
+import { type FloodReport, runFlood } from './CactusdealBenchFlood.js';
+
+const DURATION_MS = Number(process.env.BENCH_DURATION_MS ?? 6_000);
+const SEED = 20261204;
+
+function printReport(report: FloodReport): void {
+  const { scenario, policy, usefulWork, wastedWork, wantedWork } = report;
+  process.stdout.write(
+    `${scenario} ${policy} wanted=${wantedWork} useful=${usefulWork} wasted=${wastedWork}\n`,
+  );
+  report.classes.forEach((row) => {
+    const rates = `offered=${row.offeredPerSecond}/s good=${row.goodPerSecond}/s`;
+    const times = `p50=${row.p50Ms}ms p99=${row.p99Ms}ms target=${row.targetP99Ms}ms`;
+    const shares = `kept=${row.keptShare} ensured=${row.ensuredShare}`;
+    process.stdout.write(`  ${row.name} ${rates} ${times} ${shares}\n`);
+  });
+}
+
+const reports = await runFlood(DURATION_MS, SEED);
+reports.forEach(printReport);
+process.stdout.write(`${JSON.stringify({ bench: 'flood', seed: SEED, reports })}\n`);
--- /dev/null
+++ b/packages/bench/src/CactusdealBenchLoadPlan.ts
@@ -0,0 +1,44 @@
+import type { Failure } from '@cactusdeal/shared';
+import { type Either, Left, Right } from 'purify-ts';
+import { parse } from 'smol-toml';
+import type { LoadClass } from './CactusdealBenchLoadTypes.js';
+
+export type LoadPlanFailure = Failure<'LoadPlanInvalid'>;
+
+const METHODS: readonly unknown[] = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'];
+
+const DEFAULTS = { method: 'GET', bodyBytes: 0, isKeyed: false, deadlineMs: 5_000 };
+
+const CHECKS: Readonly<Record<keyof LoadClass, (value: unknown) => boolean>> = {
+  name: (value) => typeof value === 'string' && value.length > 0,
+  callsPerSecond: (value) => typeof value === 'number' && value > 0,
+  method: (value) => METHODS.includes(value),
+  path: (value) => typeof value === 'string' && value.startsWith('/'),
+  bodyBytes: (value) => typeof value === 'number' && value >= 0,
+  isKeyed: (value) => typeof value === 'boolean',
+  deadlineMs: (value) => typeof value === 'number' && value > 0,
+};
+
+/** Parses the `[[class]]` tables of a load plan in TOML; the failure names every wrong key. */
+export function parseLoadPlan(text: string): Either<LoadPlanFailure, LoadClass[]> {
+  let tables: unknown;
+  try {
+    tables = parse(text).class;
+  } catch (caught) {
+    return Left({ kind: 'LoadPlanInvalid', message: String(caught) });
+  }
+  if (!Array.isArray(tables) || tables.length === 0) {
+    return Left({ kind: 'LoadPlanInvalid', message: 'no [[class]] table' });
+  }
+  const classes = tables.map((table: object) => ({ ...DEFAULTS, ...table }) as LoadClass);
+  const faults = classes.flatMap(listFaults);
+  if (faults.length > 0) return Left({ kind: 'LoadPlanInvalid', message: faults.join('; ') });
+  return Right(classes);
+}
+
+function listFaults(loadClass: LoadClass, index: number): string[] {
+  const checks = Object.entries(CHECKS) as [keyof LoadClass, (value: unknown) => boolean][];
+  return checks
+    .filter(([key, check]) => !check(loadClass[key]))
+    .map(([key]) => `class[${index}].${key}: found ${JSON.stringify(loadClass[key])}`);
+}
