--- a/packages/mesh/src/__tests__/unit/CactusdealMesh.test.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMesh.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createCountedEntry, createCountingState } from '../../bench/CactusdealMeshBenchState.js';
 import type { Mesh } from '../../CactusdealMeshTypes.js';
 import {
   closeMeshes,
   countAlive,
-  createEntry,
-  createFakeState,
+  KEPT_ENTRIES,
   startMesh,
   startMeshes,
   waitUntil,
@@ -34,7 +34,7 @@
     }));
 
   it('spreads entries, workers and notices to every member', async () => {
-    const states = Array.from({ length: COUNT }, () => createFakeState());
+    const states = Array.from({ length: COUNT }, () => createCountingState(KEPT_ENTRIES));
     const meshes = await startMeshes(COUNT, (index) => ({ state: states[index] as never }));
     try {
       await waitUntil(() => meshes.every((mesh) => countAlive(mesh) === COUNT), 'all know all');
@@ -46,8 +46,8 @@
         }),
       );
       for (let version = 1; version <= 5; version += 1) {
-        states[0]?.acceptEntry(createEntry(version));
-        meshes[0]?.publishEntry(createEntry(version));
+        states[0]?.acceptEntry(createCountedEntry(version));
+        meshes[0]?.publishEntry(createCountedEntry(version));
       }
       meshes[1]?.publishNotice('quarantine', 'q1', { fingerprint: 'x' });
       const worker = {
@@ -90,10 +90,10 @@
     }));
 
   it('gives a newcomer the whole snapshot when the entries are no longer held', async () => {
-    const old = createFakeState(2);
-    for (let version = 1; version <= 9; version += 1) old.acceptEntry(createEntry(version));
+    const old = createCountingState(2);
+    for (let version = 1; version <= 9; version += 1) old.acceptEntry(createCountedEntry(version));
     const first = await startMesh('first', { state: old });
-    const state = createFakeState();
+    const state = createCountingState(KEPT_ENTRIES);
     const contacts = [first.getSelf().meshAddress];
     const second = await startMesh('second', { state, contacts });
     try {
--- a/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
-import type { LogEntry, Snapshot } from '@cactusdeal/schema';
 import { createSeededRandom, createSilentLog, waitMs } from '@cactusdeal/shared';
-import { createMesh } from '../../CactusdealMesh.js';
+import { createMeshNode, type MeshNode } from '../../CactusdealMesh.js';
 import type { MeshOptions } from '../../CactusdealMeshOptions.js';
-import type { Mesh, MeshState } from '../../CactusdealMeshTypes.js';
+import { createCountingState } from '../../bench/CactusdealMeshBenchState.js';
+import type { Mesh } from '../../CactusdealMeshTypes.js';
 
 const POLL_MS = 5;
 const PATIENCE_MS = 20_000;
+/** Log entries that a test's state keeps. */
+export const KEPT_ENTRIES = 100;
 
 /** Waits until the condition holds; fails with `message` when it does not for long. */
 export async function waitUntil(condition: () => boolean, message: string): Promise<void> {
@@ -17,55 +19,14 @@
   }
 }
 
-/** A configuration whose content is its version only; keeps the last `kept` entries. */
-export function createFakeState(kept = 100): MeshState & { version: number } {
-  const entries: LogEntry[] = [];
-  const state = {
-    version: 0,
-    getVersion: () => state.version,
-    getHeadVersion: () => state.version,
-    getEntriesAfter: (version: number) => {
-      const found = entries.filter((entry) => entry.version > version);
-      return found.length === state.version - version ? found : undefined;
-    },
-    getSnapshotWithHash: () => ({
-      snapshot: { version: state.version, services: {}, routes: {}, drains: {} },
-      hash: 'a'.repeat(64),
-    }),
-    getRejections: () => [],
-    acceptEntry: (entry: LogEntry) => {
-      if (entry.version !== state.version + 1) return false;
-      state.version = entry.version;
-      entries.push(entry);
-      entries.splice(0, entries.length - kept);
-      return true;
-    },
-    acceptSnapshot: (snapshot: Snapshot) => {
-      if (snapshot.version <= state.version) return false;
-      state.version = snapshot.version;
-      entries.length = 0;
-      return true;
-    },
-  };
-  return state;
-}
-
-/** Creates the entry that leads from `version - 1` to `version`. */
-export function createEntry(version: number): LogEntry {
-  return {
-    version,
-    baseVersion: version - 1,
-    planId: `plan-${version}`,
-    operations: [{ type: 'removeDrain', name: 'worker' }],
-    hash: 'a'.repeat(64),
-    operator: 'test',
-    acceptedAtMs: 0,
-  };
+/** Starts one mesh with short times and a fixed seed. */
+export async function startMesh(id: string, changes: Partial<MeshOptions> = {}): Promise<Mesh> {
+  return (await startNode(id, changes)).mesh;
 }
 
-/** Starts one mesh with short times and a fixed seed. */
-export function startMesh(id: string, changes: Partial<MeshOptions> = {}): Promise<Mesh> {
-  return createMesh({
+/** As `startMesh`, for tests that kill the node. */
+export function startNode(id: string, changes: Partial<MeshOptions> = {}): Promise<MeshNode> {
+  return createMeshNode({
     cluster: 'test',
     dataCentre: 'east',
     id,
@@ -78,7 +39,7 @@
     digestMs: 60,
     activeDegree: 4,
     readersPerDataCentre: 2,
-    state: createFakeState(),
+    state: createCountingState(KEPT_ENTRIES),
     log: createSilentLog(),
     random: createSeededRandom([...id].reduce((sum, char) => sum * 31 + char.charCodeAt(0), 7)),
     ...changes,
@@ -107,3 +68,26 @@
 export function countAlive(mesh: Mesh): number {
   return mesh.getMembers().filter((record) => record.state === 'alive').length;
 }
+
+/** Ids that a mesh holds as alive, in order. */
+export function listAlive(mesh: Mesh): string[] {
+  return mesh
+    .getMembers()
+    .filter((record) => record.state === 'alive')
+    .map((record) => record.id)
+    .sort();
+}
+
+/** Counts the meshes that can be reached from the first over open connections. */
+export function countConnected(meshes: readonly Mesh[]): number {
+  const byId = new Map(meshes.map((mesh) => [mesh.getSelf().id, mesh]));
+  const reached = new Set<string>();
+  const queue = [...byId.keys()].slice(0, 1);
+  while (queue.length > 0) {
+    const id = queue.pop() as string;
+    if (reached.has(id)) continue;
+    reached.add(id);
+    queue.push(...(byId.get(id)?.getNeighbours() ?? []));
+  }
+  return reached.size;
+}
