--- /dev/null
+++ b/packages/bench/src/CactusdealBenchLatencyHost.ts
@@ -0,0 +1,158 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Snapshot } from '@cactusdeal/schema';
+import { createSilentLog, getMonotonicMs } from '@cactusdeal/shared';
+import {
+  type Claims,
+  createGateQueue,
+  createQuarantine,
+  createTrafficMetrics,
+  type Gate,
+  startCallListener,
+} from '@cactusdeal/traffic';
+import { Registry } from 'prom-client';
+import { Pool } from 'undici';
+
+/** Runs one process of the latency benchmark: an upstream, a gate or an entry. */
+
+/** What a process is told by its first message. */
+export interface LatencyHostSpec {
+  readonly memberId: string;
+  /** Upstream that this process is the gate of; absent in an entry. */
+  readonly upstream?: string;
+  /** Gates that this process may choose. */
+  readonly gates: readonly Gate[];
+}
+
+/** Slots of the upstream: never the limit here. */
+export const LATENCY_SLOTS = 64;
+export const LATENCY_SERVICE = 'records';
+
+const ANSWER = Buffer.alloc(256, 'x');
+const DEADLINE_MS = 5000;
+
+/** Creates the configuration of the benchmark: one service, one idempotent route. */
+export function createLatencySnapshot(): Snapshot {
+  return {
+    version: 1,
+    services: { [LATENCY_SERVICE]: { tenant: 'oviedo', weights: {}, queueLimit: 100 } },
+    routes: {
+      lookups: {
+        service: LATENCY_SERVICE,
+        method: '*',
+        pathPrefix: '/records',
+        rank: 'normal',
+        class: 'lookups',
+        deadlineMs: DEADLINE_MS,
+        effect: 'idempotent',
+        share: 0.5,
+        worth: 1,
+        maxBodyBytes: 65_536,
+      },
+    },
+    drains: {},
+  };
+}
+
+/** No call of the benchmark needs a claim. */
+const NO_CLAIMS: Claims = {
+  claim: () => new Promise(() => {}),
+  close: () => Promise.resolve(),
+};
+
+function startUpstream(): Promise<string> {
+  const server = createServer((request, response) => {
+    request.resume();
+    response.writeHead(200, { 'content-length': ANSWER.length });
+    response.end(ANSWER);
+  });
+  return startListening(server);
+}
+
+async function startListening(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function startDaemon(spec: LatencyHostSpec): Promise<string> {
+  const snapshot = createLatencySnapshot();
+  const worker =
+    spec.upstream === undefined
+      ? undefined
+      : {
+          name: `worker-${spec.memberId}`,
+          address: spec.upstream,
+          services: [LATENCY_SERVICE],
+          slots: LATENCY_SLOTS,
+          state: 'ready' as const,
+        };
+  let { gates } = spec;
+  const listener = await startCallListener({
+    address: '127.0.0.1:0',
+    dataCentre: 'west',
+    memberId: spec.memberId,
+    getSnapshot: () => snapshot,
+    directory: { findLocal: () => gates, findRemote: () => [] },
+    getLocalWorker: () => worker,
+    queue: createGateQueue({
+      slots: LATENCY_SLOTS,
+      getQueueLimit: () => 100,
+      clock: getMonotonicMs,
+    }),
+    claims: NO_CLAIMS,
+    quarantine: createQuarantine({ clock: Date.now, publish: () => {} }),
+    settings: {
+      connectionsPerWorker: 110,
+      headerTimeoutMs: 10_000,
+      idleTimeoutMs: 15_000,
+      retryBudget: 0.1,
+      drainMs: 1000,
+    },
+    metrics: createTrafficMetrics(new Registry()),
+    log: createSilentLog(),
+    clock: getMonotonicMs,
+    random: Math.random,
+  });
+  if (worker !== undefined) gates = [toGate(spec.memberId, worker.name, listener.address)];
+  return listener.address;
+}
+
+/** Builds the directory's entry of a gate of the benchmark. */
+export function toGate(memberId: string, worker: string, address: string): Gate {
+  const slots = LATENCY_SLOTS;
+  return { memberId, worker, dataCentre: 'west', address, slots, readyAtMs: 0 };
+}
+
+/** Relays calls without any policy: the least that one hop of `http` and `undici` costs. */
+async function startBareRelay(upstream: string): Promise<string> {
+  const pool = new Pool(`http://${upstream}`, { connections: LATENCY_SLOTS, pipelining: 1 });
+  const server = createServer((request, response) => {
+    const path = request.url ?? '/';
+    pool.dispatch(
+      { method: 'GET', path, headers: request.rawHeaders },
+      {
+        onRequestStart: () => {},
+        onResponseStart: ({ rawHeaders }, status) => {
+          response.writeHead(status, (rawHeaders as Buffer[]).map(String));
+        },
+        onResponseData: (_controller, chunk) => response.write(chunk),
+        onResponseEnd: () => response.end(),
+        onResponseError: () => response.destroy(),
+      },
+    );
+  });
+  return startListening(server);
+}
+
+function startHost(spec: LatencyHostSpec): Promise<string> {
+  if (spec.memberId === 'upstream') return startUpstream();
+  if (spec.memberId === 'bare') return startBareRelay(spec.upstream ?? '');
+  return startDaemon(spec);
+}
+
+process.on('message', (spec: LatencyHostSpec) => {
+  void startHost(spec).then((address) => process.send?.({ address }));
+});
+process.on('disconnect', () => process.exit(0));
