--- a/packages/traffic/src/CactusdealTrafficAttempt.ts
+++ b/packages/traffic/src/CactusdealTrafficAttempt.ts
@@ -1,6 +1,7 @@
 import type { Readable } from 'node:stream';
 import { FailureError } from '@cactusdeal/shared';
 import type { Dispatcher } from 'undici';
+import type { CallLife } from './CactusdealTrafficCall.js';
 import { CallHeader, findHeader } from './CactusdealTrafficHeaders.js';
 import { createRefusal, parseOutcome, parseRefusalKind } from './CactusdealTrafficRefusal.js';
 import type { Refusal } from './CactusdealTrafficTypes.js';
@@ -37,7 +38,8 @@
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: AttemptBody;
-  readonly signal: AbortSignal;
+  /** Ends the attempt when the call ends. */
+  readonly life: Pick<CallLife, 'isEnded' | 'observe'>;
   /** Longest silence within the answer's body, in milliseconds. */
   readonly idleTimeoutMs: number;
   /** Whether the other end is a daemon, whose refusals and times are read. */
@@ -80,7 +82,7 @@
   const result = new Promise<AttemptResult>((resolve) => {
     const handler = new AttemptHandler(attempt, resolve);
     abandon = handler.abandon;
-    if (attempt.signal.aborted) {
+    if (attempt.life.isEnded()) {
       handler.finishFailed(createCancelled());
       return;
     }
@@ -113,6 +115,8 @@
 class AttemptHandler implements Dispatcher.DispatchHandler {
   private readonly startedAtMs: number;
 
+  private readonly unobserve: () => void;
+
   private controller: Dispatcher.DispatchController | undefined;
 
   private started = false;
@@ -136,7 +140,7 @@
     private readonly resolve: (result: AttemptResult) => void,
   ) {
     this.startedAtMs = attempt.clock();
-    attempt.signal.addEventListener('abort', this.abandon, { once: true });
+    this.unobserve = attempt.life.observe(() => this.abandon());
   }
 
   public onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -217,7 +221,7 @@
 
   private settle(): void {
     this.done = true;
-    this.attempt.signal.removeEventListener('abort', this.abandon);
+    this.unobserve();
   }
 }
 
--- a/packages/traffic/src/CactusdealTrafficWorker.ts
+++ b/packages/traffic/src/CactusdealTrafficWorker.ts
@@ -82,7 +82,7 @@
     path: call.path,
     headers: [...call.headers, ...buildTreeHeaders(call, parts.clock())],
     body: call.body.take(),
-    signal: call.life.signal,
+    life: call.life,
     idleTimeoutMs: parts.settings.idleTimeoutMs,
     toDaemon: false,
     queuedMs,
