--- a/packages/traffic/src/CactusdealTrafficAttempt.ts
+++ b/packages/traffic/src/CactusdealTrafficAttempt.ts
@@ -1,7 +1,6 @@
 import type { Readable } from 'node:stream';
 import { FailureError } from '@cactusdeal/shared';
 import type { Dispatcher } from 'undici';
-import type { CallLife } from './CactusdealTrafficCall.js';
 import { CallHeader, findHeader } from './CactusdealTrafficHeaders.js';
 import { createRefusal, parseOutcome, parseRefusalKind } from './CactusdealTrafficRefusal.js';
 import type { Refusal } from './CactusdealTrafficTypes.js';
@@ -38,8 +37,7 @@
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: AttemptBody;
-  /** Ends the attempt when the call ends. */
-  readonly life: Pick<CallLife, 'isEnded' | 'observe'>;
+  readonly signal: AbortSignal;
   /** Longest silence within the answer's body, in milliseconds. */
   readonly idleTimeoutMs: number;
   /** Whether the other end is a daemon, whose refusals and times are read. */
@@ -82,7 +80,7 @@
   const result = new Promise<AttemptResult>((resolve) => {
     const handler = new AttemptHandler(attempt, resolve);
     abandon = handler.abandon;
-    if (attempt.life.isEnded()) {
+    if (attempt.signal.aborted) {
       handler.finishFailed(createCancelled());
       return;
     }
@@ -115,8 +113,6 @@
 class AttemptHandler implements Dispatcher.DispatchHandler {
   private readonly startedAtMs: number;
 
-  private readonly unobserve: () => void;
-
   private controller: Dispatcher.DispatchController | undefined;
 
   private started = false;
@@ -140,7 +136,7 @@
     private readonly resolve: (result: AttemptResult) => void,
   ) {
     this.startedAtMs = attempt.clock();
-    this.unobserve = attempt.life.observe(() => this.abandon());
+    attempt.signal.addEventListener('abort', this.abandon, { once: true });
   }
 
   public onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -221,7 +217,7 @@
 
   private settle(): void {
     this.done = true;
-    this.unobserve();
+    this.attempt.signal.removeEventListener('abort', this.abandon);
   }
 }
 
--- a/packages/traffic/src/CactusdealTrafficCall.ts
+++ b/packages/traffic/src/CactusdealTrafficCall.ts
@@ -48,36 +48,23 @@
 
 /** Whether a call's answer is still wanted. */
 export interface CallLife {
-  /** Made when first asked for; aborts when the call has ended. */
   readonly signal: AbortSignal;
-  isEnded(): boolean;
-  /** Registers what runs when the call ends early; answers its removal. Cheaper than the signal. */
-  observe(listener: () => void): () => void;
   /** The caller went away. */
   cancel(): void;
   /** The answer has begun, so that the deadline is met. */
   stopDeadline(): void;
-  /** Why the call ended early, as a refusal; undefined while it has not. */
+  /** Why the signal aborted, as a refusal; undefined while it has not. */
   explain(outcome: CallOutcome): Refusal | undefined;
   close(): void;
 }
 
-/** Starts the deadline of a call, which ends when it passes or when the caller goes away. */
+/** Starts the deadline of a call; the signal aborts when it passes or when the caller goes away. */
 export function startCallLife(remainingMs: number): CallLife {
-  const listeners = new Set<() => void>();
-  let controller: AbortController | undefined;
+  const controller = new AbortController();
   let ended: RefusalKind | undefined;
   const timer = setTimeout(() => finish(RefusalKind.DeadlinePassed), Math.max(0, remainingMs));
   return {
-    get signal() {
-      controller ??= createController(ended !== undefined);
-      return controller.signal;
-    },
-    isEnded: () => ended !== undefined,
-    observe: (listener) => {
-      listeners.add(listener);
-      return () => listeners.delete(listener);
-    },
+    signal: controller.signal,
     cancel: () => finish(RefusalKind.Cancelled),
     stopDeadline: () => clearTimeout(timer),
     explain: (outcome) =>
@@ -89,17 +76,10 @@
     if (ended !== undefined) return;
     ended = kind;
     clearTimeout(timer);
-    controller?.abort();
-    for (const listener of listeners) listener();
+    controller.abort();
   }
 }
 
-function createController(isAborted: boolean): AbortController {
-  const controller = new AbortController();
-  if (isAborted) controller.abort();
-  return controller;
-}
-
 const EXPLANATIONS: Partial<Record<RefusalKind, string>> = {
   DeadlinePassed: 'the deadline passed before an answer began',
   Cancelled: 'the caller went away',
--- a/packages/traffic/src/CactusdealTrafficEntry.ts
+++ b/packages/traffic/src/CactusdealTrafficEntry.ts
@@ -90,7 +90,7 @@
 
 /** Whether another attempt may follow a refusal, leaving the budget aside. */
 function shouldRetry(call: Call, refusal: Refusal): boolean {
-  if (FINAL_KINDS.has(refusal.kind) || call.life.isEnded() || !call.body.canTake()) {
+  if (FINAL_KINDS.has(refusal.kind) || call.life.signal.aborted || !call.body.canTake()) {
     return false;
   }
   if (refusal.outcome === CallOutcome.NotRun) return true;
@@ -153,7 +153,7 @@
     path: call.path,
     headers: [...call.headers, ...buildTreeHeaders(call, parts.clock()), ...forGate],
     body: call.body.take(),
-    life: call.life,
+    signal: call.life.signal,
     idleTimeoutMs: parts.settings.idleTimeoutMs,
     toDaemon: true,
     queuedMs: 0,
--- a/packages/traffic/src/CactusdealTrafficGate.ts
+++ b/packages/traffic/src/CactusdealTrafficGate.ts
@@ -125,7 +125,7 @@
 ): Promise<CallEnd> {
   if (result.type === 'refused') return result;
   if (!result.sent) ticket?.abandon();
-  const wanted = !call.life.isEnded() && !isBodyTooLarge(result.cause);
+  const wanted = !call.life.signal.aborted && !isBodyTooLarge(result.cause);
   if (result.sent && wanted && !(await probeAddress(worker.address))) {
     parts.quarantine.recordCrash(fingerprint);
     parts.log.warn('upstream-crashed', { worker: worker.name, fingerprint });
--- a/packages/traffic/src/CactusdealTrafficWorker.ts
+++ b/packages/traffic/src/CactusdealTrafficWorker.ts
@@ -82,7 +82,7 @@
     path: call.path,
     headers: [...call.headers, ...buildTreeHeaders(call, parts.clock())],
     body: call.body.take(),
-    life: call.life,
+    signal: call.life.signal,
     idleTimeoutMs: parts.settings.idleTimeoutMs,
     toDaemon: false,
     queuedMs,
