Leave test and daemon processes explicitly once their work has ended

Cause: after its last test a process kept a core busy for nine minutes; its native stack stood in the runtime's clean-up of handles (node::Environment::CleanupHandles, uv_run without any live handle), so no code of this repository ran. Ruled out: a loop of ours (no frame of it on the stack); forcing the exit after the last test, which would hide leaked handles. Conclusion: the same could have kept a stopped daemon alive, so it leaves explicitly too.

--- a/packages/daemon/src/CactusdealDaemonMain.ts
+++ b/packages/daemon/src/CactusdealDaemonMain.ts
@@ -14,7 +14,8 @@
   error: LogLevel.Error,
 } as const;
 
-process.exitCode = await main();
+// Node.js 20 can spin in its own clean-up of handles at the natural end, so the process leaves by itself.
+process.exit(await main());
 
 async function main(): Promise<number> {
   const program = cac('cactusdeald');
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -29,7 +29,14 @@
 const files = listTestFiles();
 const runner = spawn(
   process.execPath,
-  ['--test', '--test-reporter=tap', `--test-concurrency=${CONCURRENCY}`, ...files],
+  [
+    '--import',
+    './scripts/exit.mjs',
+    '--test',
+    '--test-reporter=tap',
+    `--test-concurrency=${CONCURRENCY}`,
+    ...files,
+  ],
   { stdio: ['ignore', 'pipe', 'inherit'] },
 );
 let output = '';
