--- a/packages/operator/src/CactusdealOperatorStart.ts
+++ b/packages/operator/src/CactusdealOperatorStart.ts
@@ -133,7 +133,14 @@
   if (inManifest !== undefined) return Right(inManifest);
   const found = await platform.get(getLogKey(version));
   return found.mapLeft(toUnavailable).chain((record) => {
-    if (record === undefined) return refuseCorrupt(`the log lacks version ${version}`);
+    if (record === undefined) return refuseAbsent(manifest, version);
     return Right(readLogValue(version, record.value));
   });
 }
+
+/** Beyond what the checkpoint covers, an absent entry is one that nobody accepted. */
+function refuseAbsent(manifest: Manifest, version: number): Either<LoadFailure, never> {
+  const message = `the log lacks version ${version}`;
+  if (version <= manifest.headVersion) return refuseCorrupt(message);
+  return Left({ kind: LoadFailureKind.NeverInForce, message });
+}
--- /dev/null
+++ b/packages/operator/src/__tests__/unit/CactusdealOperatorSlot.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createMemoryPlatform, type Platform } from '@cactusdeal/platform';
+import { createSilentLog } from '@cactusdeal/shared';
+import {
+  createReaderLease,
+  type MemberSlotOptions,
+  readReaders,
+  readRoster,
+  createRoster,
+} from '../../index.js';
+import { CallFault, wrapPlatform } from '../CactusdealOperatorTestPlatform.js';
+
+/** Short, so that a turn of the task comes soon; no case depends on how soon. */
+const LEASE_MS = 30;
+const POLL_MS = 2;
+const MAX_POLLS = 2000;
+
+describe('slots by lease', () => {
+  it('are held by as many members as there are slots', async () => {
+    const platform = createMemoryPlatform();
+    const stop = new AbortController();
+    const leases = ['a', 'b', 'c', 'd'].map((id) =>
+      createReaderLease(buildOptions(platform, id, stop)),
+    );
+    await waitUntil(() => leases.filter((lease) => lease.isHolding()).length === 2);
+    const readers = await readReaders(platform, 'west');
+    const names = readers.map(({ memberId }) => memberId).sort();
+    assert.equal(new Set(names).size, 2);
+    stop.abort();
+    await Promise.all(leases.map((lease) => lease.close()));
+    assert.deepEqual(await readReaders(platform, 'west'), []);
+  });
+
+  it('pass on when their holder stops renewing', async () => {
+    const platform = createMemoryPlatform();
+    const stop = new AbortController();
+    let isCut = false;
+    const cut = wrapPlatform(platform, () => (isCut ? CallFault.LostBefore : CallFault.None));
+    const first = createReaderLease({ ...buildOptions(cut, 'a', stop), slots: 1 });
+    await waitUntil(first.isHolding);
+    const second = createReaderLease({ ...buildOptions(platform, 'b', stop), slots: 1 });
+    isCut = true;
+    await waitUntil(() => second.isHolding() && !first.isHolding());
+    assert.deepEqual(await readReaders(platform, 'west', 1), [
+      { memberId: 'b', meshAddress: '127.0.0.1:1' },
+    ]);
+    stop.abort();
+    await Promise.all([first.close(), second.close()]);
+  });
+
+  it('are given back by a member that is no candidate any more, which then calls nothing', async () => {
+    const platform = createMemoryPlatform();
+    const stop = new AbortController();
+    let isCandidate = true;
+    let calls = 0;
+    const counted = wrapPlatform(platform, () => {
+      calls += 1;
+      return CallFault.None;
+    });
+    const turns: boolean[] = [];
+    const lease = createRoster({
+      ...buildOptions(counted, 'a', stop),
+      isCandidate: () => {
+        turns.push(isCandidate);
+        return isCandidate;
+      },
+    });
+    await waitUntil(lease.isHolding);
+    isCandidate = false;
+    await waitUntil(() => !lease.isHolding());
+    const callsBefore = calls;
+    const turnsBefore = turns.length;
+    await waitUntil(() => turns.length > turnsBefore + 2);
+    assert.ok(calls - callsBefore <= 1, 'only the answer of the release may still be counted');
+    stop.abort();
+    await lease.close();
+  });
+
+  it('give a starting daemon as many contacts as it wants, in few reads', async () => {
+    const platform = createMemoryPlatform();
+    const stop = new AbortController();
+    const leases = Array.from({ length: 8 }, (_, index) =>
+      createRoster(buildOptions(platform, `m${index}`, stop)),
+    );
+    await waitUntil(() => leases.every((lease) => lease.isHolding()));
+    let calls = 0;
+    const counted = wrapPlatform(platform, () => {
+      calls += 1;
+      return CallFault.None;
+    });
+    const contacts = await readRoster(counted, { dataCentre: 'west', wanted: 3 });
+    assert.equal(contacts.length, 3);
+    assert.equal(calls, 3);
+    stop.abort();
+    await Promise.all(leases.map((lease) => lease.close()));
+  });
+});
+
+function buildOptions(
+  platform: Platform,
+  memberId: string,
+  stop: AbortController,
+): MemberSlotOptions {
+  return {
+    platform,
+    dataCentre: 'west',
+    memberId,
+    meshAddress: '127.0.0.1:1',
+    leaseMs: LEASE_MS,
+    clock: () => performance.now(),
+    signal: stop.signal,
+    log: createSilentLog(),
+  };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  for (let polls = 0; polls < MAX_POLLS; polls += 1) {
+    if (condition()) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+  assert.fail('the condition did not come to hold');
+}
