--- a/packages/mesh/src/CactusdealMeshOptions.ts
+++ b/packages/mesh/src/CactusdealMeshOptions.ts
@@ -1,4 +1,5 @@
 import type { Clock, Log, Random } from '@cactusdeal/shared';
+import type { OpenSocket } from './CactusdealMeshConnection.js';
 import type { MeshState } from './CactusdealMeshTypes.js';
 
 /** What a daemon's settings and parts give its mesh. Times in milliseconds. */
@@ -10,6 +11,9 @@
   readonly meshAddress: string;
   readonly callsAddress: string;
   readonly adminAddress: string;
+  /** Addresses for daemons of other data centres, where they differ from those above. */
+  readonly remoteMeshAddress?: string;
+  readonly remoteCallsAddress?: string;
   /** Mesh addresses in this data centre, tried at start and when isolated. */
   readonly contacts: readonly string[];
   /** Mesh addresses in other data centres, by data centre. */
@@ -23,6 +27,8 @@
   readonly log: Log;
   readonly clock?: Clock;
   readonly random?: Random;
+  /** Opens a socket to a peer's address; plain TCP when absent. */
+  readonly openSocket?: OpenSocket;
   /** Asked for mesh addresses only when settings and remembered members lead nowhere. */
   readonly findContacts?: () => Promise<readonly string[]>;
   /** Asked for readers of another data centre only when no known address leads there. */
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -1,3 +1,4 @@
+export { buildIdempotencyKey } from './CactusdealTrafficClaimsKey.js';
 export { type ClaimsOptions, createClaims } from './CactusdealTrafficClaims.js';
 export {
   createGateQueue,
@@ -20,6 +21,13 @@
   type Refusal,
   RefusalKind,
 } from './CactusdealTrafficTypes.js';
+export {
+  type Caller,
+  type CallerAnswer,
+  type CallerOptions,
+  type CallerRequest,
+  createCaller,
+} from './CactusdealTrafficCaller.js';
 export { createFifoQueue, type FifoQueueOptions } from './CactusdealTrafficFifoQueue.js';
 export { CallHeader } from './CactusdealTrafficHeaders.js';
 export {
