--- a/packages/operator/src/__tests__/unit/CactusdealOperatorCheckpoint.test.ts
+++ b/packages/operator/src/__tests__/unit/CactusdealOperatorCheckpoint.test.ts
@@ -96,6 +96,21 @@
     }
   });
 
+  it('keeps the shards of a manifest whose answer was lost', async () => {
+    const platform = createMemoryPlatform();
+    const holder = await createLogged(platform, 1);
+    const faulty = wrapPlatform(platform, ({ operation, key }) =>
+      key === MANIFEST_KEY && operation !== 'get' ? CallFault.LostAfter : CallFault.None,
+    );
+    const writer = createCheckpointWriter(faulty, holder, LIMITS);
+    for (let version = 2; version <= 9; version += 1) {
+      await acceptChange(platform, holder, buildChange(version));
+      assert.ok((await writer.write()).isLeft());
+      const started = createStarted((await loadStart(platform)).unsafeCoerce());
+      assert.equal(started.getHash(), holder.getHash());
+    }
+  });
+
   const DAMAGES = [
     { name: 'a shard that is gone', damage: removeShard },
     { name: 'a shard with other content', damage: swapShard },
--- a/packages/operator/src/__tests__/unit/CactusdealOperatorLogReader.test.ts
+++ b/packages/operator/src/__tests__/unit/CactusdealOperatorLogReader.test.ts
@@ -7,6 +7,8 @@
 import { acceptChange, buildChange, createLogged } from '../CactusdealOperatorSamples.js';
 import { CallFault, type ChooseFault, wrapPlatform } from '../CactusdealOperatorTestPlatform.js';
 
+/** Plan that lost its version, and must reach no daemon. */
+const LATE_PLAN_ID = 'late';
 const LIMITS = { entriesPerGeneration: 2, generations: 2 };
 
 interface ReaderCase {
@@ -47,7 +49,7 @@
     prepare: async (platform) => {
       const holder = await writeTrimmed(platform);
       const entry = (await createLogged(createMemoryPlatform(), 1)).getEntriesAfter(0)?.[0];
-      const other = { ...entry, planId: 'late' };
+      const other = { ...entry, planId: LATE_PLAN_ID };
       await platform.createIfAbsent(getLogKey(1), new TextEncoder().encode(JSON.stringify(other)));
       return holder;
     },
@@ -116,6 +118,7 @@
       },
       getSnapshot: holder.getSnapshot,
       acceptEntry: (entry) => {
+        assert.notEqual(entry.planId, LATE_PLAN_ID);
         holder.applyEntry(entry);
         stopAtHead();
       },
--- a/packages/operator/src/__tests__/unit/CactusdealOperatorSlot.test.ts
+++ b/packages/operator/src/__tests__/unit/CactusdealOperatorSlot.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { describe, it, type TestContext } from 'node:test';
 import { createMemoryPlatform, type Platform } from '@cactusdeal/platform';
 import { createSilentLog } from '@cactusdeal/shared';
 import {
@@ -17,9 +17,9 @@
 const MAX_POLLS = 2000;
 
 describe('slots by lease', () => {
-  it('are held by as many members as there are slots', async () => {
+  it('are held by as many members as there are slots', async (context) => {
     const platform = createMemoryPlatform();
-    const stop = new AbortController();
+    const stop = createStop(context);
     const leases = ['a', 'b', 'c', 'd'].map((id) =>
       createReaderLease(buildOptions(platform, id, stop)),
     );
@@ -32,9 +32,9 @@
     assert.deepEqual(await readReaders(platform, 'west'), []);
   });
 
-  it('pass on when their holder stops renewing', async () => {
+  it('pass on when their holder stops renewing', async (context) => {
     const platform = createMemoryPlatform();
-    const stop = new AbortController();
+    const stop = createStop(context);
     let isCut = false;
     const cut = wrapPlatform(platform, () => (isCut ? CallFault.LostBefore : CallFault.None));
     const first = createReaderLease({ ...buildOptions(cut, 'a', stop), slots: 1 });
@@ -49,9 +49,22 @@
     await Promise.all([first.close(), second.close()]);
   });
 
-  it('are given back by a member that is no candidate any more, which then calls nothing', async () => {
+  it('count as lost as soon as the own clock has outlived the lease', async (context) => {
     const platform = createMemoryPlatform();
-    const stop = new AbortController();
+    const stop = createStop(context);
+    let nowMs = 0;
+    const options = { ...buildOptions(platform, 'a', stop), leaseMs: 600_000, clock: () => nowMs };
+    const lease = createReaderLease(options);
+    await waitUntil(lease.isHolding);
+    nowMs += options.leaseMs;
+    assert.equal(lease.isHolding(), false);
+    stop.abort();
+    await lease.close();
+  });
+
+  it('are given back by a member that is no candidate any more, which then calls nothing', async (context) => {
+    const platform = createMemoryPlatform();
+    const stop = createStop(context);
     let isCandidate = true;
     let calls = 0;
     const counted = wrapPlatform(platform, () => {
@@ -77,9 +90,9 @@
     await lease.close();
   });
 
-  it('give a starting daemon as many contacts as it wants, in few reads', async () => {
+  it('give a starting daemon as many contacts as it wants, in few reads', async (context) => {
     const platform = createMemoryPlatform();
-    const stop = new AbortController();
+    const stop = createStop(context);
     const leases = Array.from({ length: 8 }, (_, index) =>
       createRoster(buildOptions(platform, `m${index}`, stop)),
     );
@@ -97,6 +110,13 @@
   });
 });
 
+/** Ends the tasks of a case also when it fails. */
+function createStop(context: TestContext): AbortController {
+  const stop = new AbortController();
+  context.after(() => stop.abort());
+  return stop;
+}
+
 function buildOptions(
   platform: Platform,
   memberId: string,
