Announce at once off the tree; compute summaries only after a change; add bench:mesh

Cause: values that took a lazy edge waited up to a quarter heartbeat for the announcement and half a heartbeat for the request; summaries and their hashes were computed anew for every digest of every link. Ruled out: flooding every value over the active view, which multiplies a restart's records by the degree. Conclusion: off the tree a value is announced within 25 ms and asked for 75 ms later.

--- a/packages/mesh/src/CactusdealMesh.ts
+++ b/packages/mesh/src/CactusdealMesh.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from 'node:crypto';
+import { randomBytes } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { Socket } from 'node:net';
 import { waitMs } from '@cactusdeal/shared';
@@ -11,6 +11,7 @@
 
 /** Time that a departing daemon gives its last messages, in milliseconds. */
 const LEAVE_MS = 50;
+const SURVEY_ID_BYTES = 9;
 
 /** A mesh that can also end as a killed process does. */
 export interface MeshNode {
@@ -78,7 +79,11 @@
   version: number,
   timeoutMs: number,
 ): Promise<SurveyResult> {
-  const totals = await surveys.run(randomUUID(), version, timeoutMs);
+  const totals = await surveys.run(
+    randomBytes(SURVEY_ID_BYTES).toString('base64url'),
+    version,
+    timeoutMs,
+  );
   return { ...totals, expected: members.listPresent().length + 1 };
 }
 
--- a/packages/mesh/src/CactusdealMeshBroadcast.ts
+++ b/packages/mesh/src/CactusdealMeshBroadcast.ts
@@ -15,8 +15,8 @@
   publish(id: string, body: GossipBody): void;
   /** Registers the part that takes the values of one kind. */
   receive(kind: string, receiveBody: ReceiveBody): void;
-  /** Sends the announcements that are due and drops values past their retention. */
-  flush(): void;
+  /** Drops values past their retention. */
+  discardExpired(): void;
   /** Largest number of hops that a value took to come here. */
   getMaxHops(): number;
 }
@@ -25,8 +25,6 @@
 export interface BroadcastOptions {
   readonly listPeers: () => Iterable<Peer>;
   readonly router: Router<Peer>;
-  /** Wait between an announcement and the request for the value. */
-  readonly graftMs: number;
   readonly clock: Clock;
   readonly signal: AbortSignal;
 }
@@ -34,6 +32,10 @@
 /** How long a value can be requested, and a seen id is recognised. */
 const RETENTION_MS = 60_000;
 const MAX_HELD_VALUES = 4096;
+/** Time in which announcements to one peer are gathered. */
+const ANNOUNCE_MS = 25;
+/** Wait between an announcement and the request for the value. */
+const GRAFT_MS = 75;
 /** Requests for one missing value before the digest exchange is left to mend it. */
 const MAX_GRAFTS = 5;
 const MAX_MISSING_VALUES = 1024;
@@ -66,15 +68,24 @@
   function forward(id: string, { body, hops }: Omit<HeldValue, 'atMs'>, source?: Peer): void {
     for (const peer of listPeers()) {
       if (peer === source) continue;
-      if (lazy.has(peer)) peer.announcements.push(id);
+      if (lazy.has(peer)) announce(peer, id);
       else peer.send({ type: 'gossip', id, hops: hops + 1, body });
     }
   }
 
+  /** Off the tree values are announced only, several at a time. */
+  function announce(peer: Peer, id: string): void {
+    peer.announcements.push(id);
+    if (peer.announcements.length > 1) return;
+    void waitMs(ANNOUNCE_MS, options.signal).then(() => {
+      if (!options.signal.aborted) sendAnnouncements(peer);
+    });
+  }
+
   async function fetchMissing(id: string): Promise<void> {
     const announcers = missing.get(id) ?? [];
     for (let attempt = 0; attempt < MAX_GRAFTS; attempt += 1) {
-      await waitMs(options.graftMs, options.signal);
+      await waitMs(GRAFT_MS, options.signal);
       if (options.signal.aborted || !missing.has(id)) return;
       const peer = announcers.shift();
       if (peer === undefined) break;
@@ -129,15 +140,12 @@
       forward(id, { body, hops: 0 });
     },
     receive: (kind, receiveBody) => receivers.set(kind, receiveBody),
-    flush: () => {
-      for (const peer of listPeers()) announceHeld(peer);
-      discardExpired(held, clock() - RETENTION_MS);
-    },
+    discardExpired: () => discardExpired(held, clock() - RETENTION_MS),
     getMaxHops: () => maxHops,
   };
 }
 
-function announceHeld(peer: Peer): void {
+function sendAnnouncements(peer: Peer): void {
   while (peer.announcements.length > 0) {
     const ids = peer.announcements.splice(0, MAX_ANNOUNCED_IDS);
     peer.send({ type: 'ihave', ids });
--- a/packages/mesh/src/CactusdealMeshLinkSession.ts
+++ b/packages/mesh/src/CactusdealMeshLinkSession.ts
@@ -5,7 +5,6 @@
 import type { Correspondent } from './CactusdealMeshPeer.js';
 import type { RemoteView } from './CactusdealMeshRemoteView.js';
 import { createRouter, type Router } from './CactusdealMeshRouter.js';
-import { computeSummariesHash } from './CactusdealMeshSummaries.js';
 import type { SummarySource } from './CactusdealMeshSummarySource.js';
 import type { MeshState } from './CactusdealMeshTypes.js';
 
@@ -44,12 +43,13 @@
 /** Creates what a reader candidate states to one of another data centre. */
 export function createLinkDigest(options: LinkMessageOptions, dataCentre: string): MeshMessage {
   const { state, view } = options;
+  const { stampMs, hash } = view.getHolding(dataCentre);
   return {
     type: 'link-digest',
     version: state.getVersion(),
     headVersion: state.getHeadVersion(),
-    summaryStampMs: view.getStamp(dataCentre),
-    summaryHash: computeSummariesHash(view.listHeld(dataCentre)),
+    summaryStampMs: stampMs,
+    summaryHash: hash,
     readers: [...options.listReaderAddresses()],
   };
 }
--- a/packages/mesh/src/CactusdealMeshMessages.ts
+++ b/packages/mesh/src/CactusdealMeshMessages.ts
@@ -18,6 +18,7 @@
   type RefusalMessage,
   type SnapshotMessage,
   type SummariesMessage,
+  type SurveyDeclineMessage,
   type SurveyMessage,
   type SurveyAnswerMessage,
   type Validator,
@@ -49,6 +50,7 @@
   | SnapshotMessage
   | SummariesMessage
   | SurveyMessage
+  | SurveyDeclineMessage
   | SurveyAnswerMessage;
 
 const VALIDATORS: ReadonlyMap<string, Validator<MeshMessage>> = new Map([
@@ -71,6 +73,7 @@
   ['snapshot', createMessageValidator('SnapshotMessage')],
   ['summaries', createMessageValidator('SummariesMessage')],
   ['survey', createMessageValidator('SurveyMessage')],
+  ['survey-decline', createMessageValidator('SurveyDeclineMessage')],
   ['survey-answer', createMessageValidator('SurveyAnswerMessage')],
 ]);
 
--- a/packages/mesh/src/CactusdealMeshParts.ts
+++ b/packages/mesh/src/CactusdealMeshParts.ts
@@ -151,7 +151,6 @@
   const broadcast = createBroadcast({
     listPeers: overlay.listPeers,
     router,
-    graftMs: heartbeatMs / 2,
     clock: getMonotonicMs,
     signal,
   });
@@ -239,7 +238,7 @@
     handshake: shared.handshake,
     exchange: shared.exchange,
     view: shared.view,
-    source: createSummarySource(options.dataCentre, members.list, clock),
+    source: createSummarySource(options.dataCentre, members, clock),
     isCandidate: () => readers.isChosen(options.id),
     listReaderAddresses: () =>
       readers.list().map((record) => record.remoteMeshAddress ?? record.meshAddress),
@@ -255,7 +254,8 @@
   });
 }
 
-function createOwnRecord(
+/** Creates the record of a daemon that has just started. */
+export function createOwnRecord(
   options: MeshOptions,
   meshAddress: string,
   incarnation: number,
--- a/packages/mesh/src/CactusdealMeshRemoteView.ts
+++ b/packages/mesh/src/CactusdealMeshRemoteView.ts
@@ -3,6 +3,7 @@
 import type { Broadcast } from './CactusdealMeshBroadcast.js';
 import { isGone, type MemberTable } from './CactusdealMeshMembers.js';
 import { checkValue } from './CactusdealMeshMessages.js';
+import { computeSummariesHash } from './CactusdealMeshSummaries.js';
 import {
   computeVersion,
   type HashedVersion,
@@ -25,10 +26,8 @@
     summaries: readonly ServiceSummary[],
     isFull: boolean,
   ): void;
-  /** Highest stamp held of a data centre. */
-  getStamp(dataCentre: string): number;
-  /** Services held of a data centre, linked or not. */
-  listHeld(dataCentre: string): readonly ServiceSummary[];
+  /** What is held of a data centre, linked or not, in short. */
+  getHolding(dataCentre: string): Holding;
   /** Spreads whether this daemon has a link to the data centre, and who its readers are. */
   setLink(dataCentre: string, isUp: boolean, readers: readonly string[]): void;
   /** Data centres of which anything is known. */
@@ -40,6 +39,14 @@
   readonly changes: Channel<readonly ServiceSummary[]>;
 }
 
+/** What is held of one data centre, in short. */
+export interface Holding {
+  /** Highest stamp of any of its services. */
+  readonly stampMs: number;
+  /** Hash of its services. */
+  readonly hash: string;
+}
+
 /** What the view needs from its surroundings. */
 export interface RemoteViewOptions {
   readonly memberId: string;
@@ -68,6 +75,8 @@
   const { broadcast, clock } = options;
   const rows = new Map<string, Row>();
   const linkedAtMs = new Map<string, number>();
+  /** Computed at the first use after a change. */
+  const holdings = new Map<string, Holding>();
   const changes = createChannel<readonly ServiceSummary[]>();
   let believed = '';
 
@@ -77,6 +86,7 @@
     const known = rows.get(key);
     if (known !== undefined && !isLater(version, known.version)) return false;
     rows.set(key, { item, version });
+    holdings.delete(item.dataCentre);
     return true;
   }
 
@@ -154,15 +164,11 @@
       const removed = isFull ? listRemoved(listItems(dataCentre), summaries, stampMs) : [];
       publish(mergeAll([...items, ...removed]));
     },
-    getStamp: (dataCentre) =>
-      listItems(dataCentre).reduce(
-        (highest, item) => (item.summary ? Math.max(highest, item.stampMs) : highest),
-        0,
-      ),
-    listHeld: (dataCentre) =>
-      listItems(dataCentre)
-        .flatMap((item) => item.summary ?? [])
-        .filter((summary) => !isRemoval(summary)),
+    getHolding: (dataCentre) => {
+      const holding = holdings.get(dataCentre) ?? computeHolding(listItems(dataCentre));
+      holdings.set(dataCentre, holding);
+      return holding;
+    },
     setLink: (dataCentre, isUp, readers) => {
       const link = { memberId: options.memberId, isUp, readers: [...readers] };
       const key = getItemKey({ dataCentre, stampMs: 0, link });
@@ -185,6 +191,15 @@
   };
 }
 
+function computeHolding(items: readonly RemoteItem[]): Holding {
+  const services = items.filter((item) => item.summary !== undefined);
+  const summaries = services.flatMap((item) => item.summary ?? []);
+  return {
+    stampMs: services.reduce((highest, item) => Math.max(highest, item.stampMs), 0),
+    hash: computeSummariesHash(summaries.filter((summary) => !isRemoval(summary))),
+  };
+}
+
 /** Removals of services that a full statement of their data centre no longer names. */
 function listRemoved(
   items: readonly RemoteItem[],
--- a/packages/mesh/src/CactusdealMeshSummarySource.ts
+++ b/packages/mesh/src/CactusdealMeshSummarySource.ts
@@ -1,5 +1,6 @@
-import type { MemberRecord, ServiceSummary, SummariesMessage } from '@cactusdeal/schema';
+import type { ServiceSummary, SummariesMessage } from '@cactusdeal/schema';
 import type { Clock } from '@cactusdeal/shared';
+import type { MemberTable } from './CactusdealMeshMembers.js';
 import {
   computeSummaries,
   computeSummariesHash,
@@ -21,11 +22,23 @@
 /** Creates the source of one daemon. */
 export function createSummarySource(
   dataCentre: string,
-  listRecords: () => readonly MemberRecord[],
+  members: Pick<MemberTable, 'list' | 'changes'>,
   clock: Clock,
 ): SummarySource {
   let stated: ReadonlyMap<string, ServiceSummary> = new Map();
   let stampMs = 0;
+  /** Computed at the first use after the membership changed. */
+  let current: ReadonlyMap<string, ServiceSummary> | undefined;
+  let currentHash: string | undefined;
+  members.changes.observe(() => {
+    current = undefined;
+    currentHash = undefined;
+  });
+
+  function getCurrent(): ReadonlyMap<string, ServiceSummary> {
+    current ??= computeSummaries(dataCentre, members.list());
+    return current;
+  }
 
   function takeStamp(): number {
     stampMs = Math.max(stampMs + 1, clock());
@@ -34,11 +47,12 @@
 
   return {
     createFull: () => {
-      const summaries = [...computeSummaries(dataCentre, listRecords()).values()];
+      const summaries = [...getCurrent().values()];
       return { type: 'summaries', stampMs: takeStamp(), isFull: true, summaries };
     },
     takeChanges: () => {
-      const now = computeSummaries(dataCentre, listRecords());
+      const now = getCurrent();
+      if (now === stated) return undefined;
       const summaries = diffSummaries(dataCentre, stated, now);
       stated = now;
       if (summaries.length === 0) return undefined;
@@ -47,7 +61,9 @@
     raiseStamp: (heldMs) => {
       stampMs = Math.max(stampMs, heldMs);
     },
-    computeHash: () =>
-      computeSummariesHash([...computeSummaries(dataCentre, listRecords()).values()]),
+    computeHash: () => {
+      currentHash ??= computeSummariesHash([...getCurrent().values()]);
+      return currentHash;
+    },
   };
 }
--- a/packages/mesh/src/CactusdealMeshSurvey.ts
+++ b/packages/mesh/src/CactusdealMeshSurvey.ts
@@ -74,7 +74,7 @@
     discardExpired();
     const { id } = message;
     if (sessions.has(id)) {
-      peer.send({ type: 'survey-answer', id, ...EMPTY_TOTALS });
+      peer.send({ type: 'survey-decline', id });
       return;
     }
     void collect(message, peer).then((totals) =>
@@ -91,6 +91,10 @@
 
   options.router.handle('survey', answerSurvey);
   options.router.handle('survey-answer', receiveAnswer);
+  options.router.handle('survey-decline', (peer, { id }) => {
+    const session = sessions.get(id);
+    if (session !== undefined) settle(session, peer);
+  });
 
   return {
     run: (id, version, timeoutMs) => {
@@ -101,14 +105,6 @@
   };
 }
 
-const EMPTY_TOTALS: SurveyTotals = {
-  answered: 0,
-  lowestVersion: 0,
-  highestVersion: 0,
-  stragglers: [],
-  rejections: [],
-};
-
 function createOwnTotals({ memberId, state }: SurveyOptions, version: number): SurveyTotals {
   const own = state.getVersion();
   return {
@@ -125,8 +121,6 @@
 
 /** Adds the totals of two disjoint sets of daemons; names past the bound are dropped. */
 export function addTotals(first: SurveyTotals, second: SurveyTotals): SurveyTotals {
-  if (second.answered === 0) return first;
-  if (first.answered === 0) return second;
   return {
     answered: first.answered + second.answered,
     lowestVersion: Math.min(first.lowestVersion, second.lowestVersion),
--- a/packages/mesh/src/CactusdealMeshTasks.ts
+++ b/packages/mesh/src/CactusdealMeshTasks.ts
@@ -10,8 +10,6 @@
 const SILENT_HEARTBEATS = 4;
 /** A wait for one heartbeat that took this many means that the process itself stood still. */
 const PAUSE_HEARTBEATS = 3;
-/** Announcements of values off the tree go out this many times in a heartbeat. */
-const FLUSHES_PER_HEARTBEAT = 4;
 
 /** Why a neighbour's loss says nothing against it. */
 const BLAMELESS_KINDS: ReadonlySet<MeshFailureKind> = new Set([
@@ -25,7 +23,6 @@
   observeOverlay(parts);
   parts.dissemination.observe(parts.links.announceVersion);
   void runHeartbeats(parts);
-  void runFlushes(parts);
   void runDigests(parts);
   void parts.visits.run();
   void parts.seeker.run();
@@ -67,7 +64,7 @@
 }
 
 async function runHeartbeats(parts: MeshParts): Promise<void> {
-  const { options, detector, members, view, signal } = parts;
+  const { options, detector, members, broadcast, view, signal } = parts;
   let tickedAtMs = getMonotonicMs();
   while (!signal.aborted) {
     await waitMs(options.heartbeatMs, signal);
@@ -79,6 +76,7 @@
     sendHeartbeats(parts, nowMs - SILENT_HEARTBEATS * options.heartbeatMs);
     detector.reviewSuspects();
     members.discardExpired();
+    broadcast.discardExpired();
     view.review();
   }
 }
@@ -100,13 +98,6 @@
   for (const peer of overlay.listPeers()) peer.lastReceivedMs = nowMs;
 }
 
-async function runFlushes({ options, broadcast, signal }: MeshParts): Promise<void> {
-  while (!signal.aborted) {
-    await waitMs(options.heartbeatMs / FLUSHES_PER_HEARTBEAT, signal);
-    if (!signal.aborted) broadcast.flush();
-  }
-}
-
 /** Compares digests with one random neighbour; the visits do so with the other members. */
 async function runDigests({
   options,
--- /dev/null
+++ b/packages/mesh/src/bench/CactusdealMeshBenchMain.ts
@@ -0,0 +1,92 @@
+import { getWallTimeMs } from '@cactusdeal/shared';
+import { createMemberTable } from '../CactusdealMeshMembers.js';
+import { createOwnRecord } from '../CactusdealMeshParts.js';
+import { createOptions } from './CactusdealMeshBenchFleet.js';
+import { type HubResult, runHub } from './CactusdealMeshBenchHub.js';
+import { computeFit, type Fit, formatResult } from './CactusdealMeshBenchMeasure.js';
+import { measureSize, type SizeResult } from './CactusdealMeshBenchSize.js';
+import { createCountingState } from './CactusdealMeshBenchState.js';
+
+/** Lines through the measured sizes; the number of daemons, or its binary logarithm, is x. */
+interface Slopes {
+  readonly idleBytesPerSecondByDaemons: Fit;
+  readonly changingBytesPerSecondByDaemons: Fit;
+  readonly idleCpuRatioByDaemons: Fit;
+  readonly surveyBytesByDaemons: Fit;
+  readonly surveyMsByLogDaemons: Fit;
+  readonly hopsByLogDaemons: Fit;
+  readonly joinMsByLogDaemons: Fit;
+  readonly memoryBytesByRecords: Fit;
+  readonly hubChangeBytesPerSecondByDaemons: Fit;
+}
+
+interface BenchResult {
+  readonly sizes: readonly SizeResult[];
+  readonly hubs: readonly HubResult[];
+  readonly slopes: Slopes;
+}
+
+const DEFAULT_SIZES = [24, 72, 144] as const;
+/** Services in the snapshot that the baseline sends. */
+const SERVICE_COUNT = 150;
+const RECORD_COUNTS = [1000, 4000, 16_000] as const;
+
+await main();
+
+async function main(): Promise<void> {
+  const wanted = process.argv.slice(2).map(Number).filter(Number.isInteger);
+  const counts = wanted.length >= 2 ? wanted : DEFAULT_SIZES;
+  const sizes: SizeResult[] = [];
+  const hubs: HubResult[] = [];
+  for (const count of counts) {
+    sizes.push(await measureSize(count));
+    hubs.push(await runHub(count, SERVICE_COUNT));
+    process.stderr.write(`${formatResult(sizes.at(-1))}\n`);
+  }
+  const result: BenchResult = { sizes, hubs, slopes: computeSlopes(sizes, hubs) };
+  process.stdout.write(`${formatResult(result)}\n`);
+}
+
+function computeSlopes(sizes: readonly SizeResult[], hubs: readonly HubResult[]): Slopes {
+  const fit = (pick: (result: SizeResult) => number, isLog = false) =>
+    computeFit(
+      sizes.map((result) => [isLog ? Math.log2(result.size) : result.size, pick(result)] as const),
+    );
+  return {
+    idleBytesPerSecondByDaemons: fit(({ idle }) => idle.sentBytesPerSecond),
+    changingBytesPerSecondByDaemons: fit(({ changing }) => changing.sentBytesPerSecond),
+    idleCpuRatioByDaemons: fit(({ idle }) => idle.cpuRatio),
+    surveyBytesByDaemons: fit(({ survey }) => survey.bytesPerDaemon),
+    surveyMsByLogDaemons: fit(({ survey }) => survey.durationMs, true),
+    hopsByLogDaemons: fit(({ maxHops }) => maxHops, true),
+    joinMsByLogDaemons: fit(({ joinMs }) => joinMs, true),
+    memoryBytesByRecords: measureRecords(),
+    hubChangeBytesPerSecondByDaemons: computeFit(
+      hubs.map((hub, index) => [sizes[index]?.size ?? 0, hub.changeBytesPerSecond] as const),
+    ),
+  };
+}
+
+/** Heap in use for tables with more and more member records; needs `--expose-gc`. */
+function measureRecords(): Fit {
+  const points = RECORD_COUNTS.map((count) => {
+    globalThis.gc?.();
+    const before = process.memoryUsage().heapUsed;
+    const table = createMemberTable(createRecord(0), 1000, getWallTimeMs);
+    for (let index = 1; index < count; index += 1) table.merge(createRecord(index));
+    globalThis.gc?.();
+    const held = process.memoryUsage().heapUsed - before;
+    return [table.list().length, held] as const;
+  });
+  return computeFit(points);
+}
+
+function createRecord(index: number) {
+  const record = createOwnRecord(
+    createOptions(index, createCountingState(1), []),
+    `10.0.0.1:${index}`,
+    1,
+  );
+  const worker = { name: `w-${index}`, services: ['paint'], slots: 12, state: 'ready' as const };
+  return { ...record, worker: { ...worker, readyAtMs: index } };
+}
--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -31,6 +31,7 @@
   surveyAnswerMessage?: SurveyAnswerMessage;
   memberRejection?: MemberRejection;
   remoteItem?: RemoteItem;
+  surveyDeclineMessage?: SurveyDeclineMessage;
 }
 /**
  * What a data centre knows of one daemon.
@@ -426,6 +427,13 @@
    */
   readers: string[];
 }
+/**
+ * The sender was asked through another daemon already.
+ */
+export interface SurveyDeclineMessage {
+  type: 'survey-decline';
+  id: string;
+}
 
 /** The schema itself, for validation at run time. */
 export const messagesSchema = {
@@ -509,6 +517,9 @@
     },
     "remoteItem": {
       "$ref": "#/definitions/RemoteItem"
+    },
+    "surveyDeclineMessage": {
+      "$ref": "#/definitions/SurveyDeclineMessage"
     }
   },
   "definitions": {
@@ -1458,6 +1469,25 @@
           }
         }
       }
+    },
+    "SurveyDeclineMessage": {
+      "description": "The sender was asked through another daemon already.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "id"
+      ],
+      "properties": {
+        "type": {
+          "const": "survey-decline"
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        }
+      }
     }
   }
 } as const;
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -49,6 +49,7 @@
   SummariesMessage,
   SummaryGate,
   SurveyAnswerMessage,
+  SurveyDeclineMessage,
   SurveyMessage,
   Worker,
   WorkerAnnouncement,
