--- a/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { createSeededRandom, createSilentLog, waitMs } from '@cactusdeal/shared';
 import { createMeshNode, type MeshNode } from '../../CactusdealMesh.js';
+import { parseAddress } from '../../CactusdealMeshConnection.js';
+import { readFrames } from '../../CactusdealMeshFrame.js';
 import type { MeshOptions } from '../../CactusdealMeshOptions.js';
 import { createCountingState } from '../../bench/CactusdealMeshBenchState.js';
 import type { Mesh } from '../../CactusdealMeshTypes.js';
@@ -91,3 +95,20 @@
   }
   return reached.size;
 }
+
+/** A decoded frame that nobody checked. */
+export interface RawMessage {
+  readonly type: string;
+  readonly kind?: string;
+  readonly contacts?: readonly string[];
+}
+
+/** Sends raw bytes to a mesh and reads until it closes the connection. */
+export async function readAnswers(address: string, bytes: Buffer): Promise<RawMessage[]> {
+  const socket = connect(parseAddress(address));
+  await once(socket, 'connect');
+  socket.write(bytes);
+  const answers: RawMessage[] = [];
+  for await (const value of readFrames(socket)) answers.push(value as RawMessage);
+  return answers;
+}
