State the readers over a link only when they changed; measure links

Cause: each link digest repeated the reader addresses. Ruled out: leaving them out altogether: a candidate that nobody dialled would not know the other data centre.

--- a/packages/mesh/src/CactusdealMeshLinkSession.ts
+++ b/packages/mesh/src/CactusdealMeshLinkSession.ts
@@ -1,7 +1,6 @@
 import { type Clock, type Random, waitMs } from '@cactusdeal/shared';
 import type { MeshConnection } from './CactusdealMeshConnection.js';
 import type { Exchange } from './CactusdealMeshExchange.js';
-import type { MeshMessage } from './CactusdealMeshMessages.js';
 import type { Correspondent } from './CactusdealMeshPeer.js';
 import type { RemoteView } from './CactusdealMeshRemoteView.js';
 import { createRouter, type Router } from './CactusdealMeshRouter.js';
@@ -16,6 +15,8 @@
   lastReceivedMs: number;
   /** Readers of the other data centre, as the peer last stated them. */
   readers: readonly string[];
+  /** Readers of this data centre, as the peer was last told. */
+  statedReaders: readonly string[];
   /** Consecutive digests in which the peer held other services of this data centre than there are. */
   mismatchedDigests: number;
 }
@@ -40,18 +41,21 @@
 /** Time in which only one peer is asked for missing versions. */
 const PULL_INTERVAL_RATIO = 0.5;
 
-/** Creates what a reader candidate states to one of another data centre. */
-export function createLinkDigest(options: LinkMessageOptions, dataCentre: string): MeshMessage {
+/** States to a reader candidate of another data centre what is held here. */
+export function sendLinkDigest(options: LinkMessageOptions, session: LinkSession): void {
   const { state, view } = options;
-  const { stampMs, hash } = view.getHolding(dataCentre);
-  return {
+  const { stampMs, hash } = view.getHolding(session.dataCentre);
+  const readers = options.listReaderAddresses();
+  const isSame = readers.join(' ') === session.statedReaders.join(' ');
+  Object.assign(session, { statedReaders: readers });
+  session.send({
     type: 'link-digest',
     version: state.getVersion(),
     headVersion: state.getHeadVersion(),
     summaryStampMs: stampMs,
     summaryHash: hash,
-    readers: [...options.listReaderAddresses()],
-  };
+    ...(isSame ? {} : { readers: [...readers] }),
+  });
 }
 
 /** Creates the router of the messages that links carry. */
@@ -93,7 +97,7 @@
     view.takeSummaries(dataCentre, message.stampMs, own, message.isFull);
   });
   router.handle('link-digest', (session, message) => {
-    updateReaders(session, message.readers);
+    if (message.readers !== undefined) updateReaders(session, message.readers);
     checkSummaries(session, message.summaryHash, message.summaryStampMs);
     if (message.version > state.getHeadVersion()) void fetchMissing(session, message.version);
   });
--- a/packages/mesh/src/CactusdealMeshLinks.ts
+++ b/packages/mesh/src/CactusdealMeshLinks.ts
@@ -7,10 +7,10 @@
   toMeshFailure,
 } from './CactusdealMeshHandshake.js';
 import {
-  createLinkDigest,
   createLinkRouter,
   type LinkMessageOptions,
   type LinkSession,
+  sendLinkDigest,
 } from './CactusdealMeshLinkSession.js';
 import { toLogFields } from './CactusdealMeshOverlay.js';
 
@@ -74,12 +74,13 @@
       send,
       lastReceivedMs: clock(),
       readers: [],
+      statedReaders: [],
       mismatchedDigests: 0,
     };
     sessions.add(session);
     view.setLink(dataCentre, true, session.readers);
     void runSession(session);
-    send(createLinkDigest(options, dataCentre));
+    sendLinkDigest(options, session);
     send(source.createFull());
     log.info('mesh-link-up', { peer: id, remoteDataCentre: dataCentre });
   }
@@ -159,7 +160,7 @@
   }
 
   function sendDigests(): void {
-    sessions.forEach((session) => session.send(createLinkDigest(options, session.dataCentre)));
+    sessions.forEach((session) => sendLinkDigest(options, session));
   }
 
   function closeSilent(): void {
--- a/packages/mesh/src/__tests__/unit/CactusdealMesh.test.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMesh.test.ts
@@ -82,11 +82,14 @@
 
   it('takes a member that left out of every table', () =>
     withMeshes(COUNT, async (meshes) => {
+      const states = new Set<string>();
+      meshes.forEach((mesh) => mesh.observeMembers((record) => states.add(record.state)));
       await meshes[5]?.close();
       await waitUntil(
         () => meshes.every((mesh, index) => index === 5 || countAlive(mesh) === COUNT - 1),
         'the member gone everywhere',
       );
+      assert.deepEqual([...states], ['left']);
     }));
 
   it('gives a newcomer the whole snapshot when the entries are no longer held', async () => {
--- a/packages/mesh/src/bench/CactusdealMeshBenchMain.ts
+++ b/packages/mesh/src/bench/CactusdealMeshBenchMain.ts
@@ -4,6 +4,7 @@
 import { createOptions } from './CactusdealMeshBenchFleet.js';
 import { type HubResult, runHub } from './CactusdealMeshBenchHub.js';
 import { computeFit, type Fit, formatResult } from './CactusdealMeshBenchMeasure.js';
+import { type LinkResult, measureLinks } from './CactusdealMeshBenchLinks.js';
 import { measureSize, type SizeResult } from './CactusdealMeshBenchSize.js';
 import { createCountingState } from './CactusdealMeshBenchState.js';
 
@@ -23,12 +24,19 @@
 interface BenchResult {
   readonly sizes: readonly SizeResult[];
   readonly hubs: readonly HubResult[];
+  readonly links: readonly LinkResult[];
   readonly slopes: Slopes;
 }
 
 const DEFAULT_SIZES = [24, 72, 144] as const;
 /** Services in the snapshot that the baseline sends. */
 const SERVICE_COUNT = 150;
+/** Numbers of data centres and of daemons in each. */
+const LINK_SHAPES = [
+  [2, 6],
+  [2, 24],
+  [4, 6],
+] as const;
 const RECORD_COUNTS = [1000, 4000, 16_000] as const;
 
 await main();
@@ -43,7 +51,12 @@
     hubs.push(await runHub(count, SERVICE_COUNT));
     process.stderr.write(`${formatResult(sizes.at(-1))}\n`);
   }
-  const result: BenchResult = { sizes, hubs, slopes: computeSlopes(sizes, hubs) };
+  const links: LinkResult[] = [];
+  for (const [dataCentres, daemonsEach] of LINK_SHAPES) {
+    links.push(await measureLinks(dataCentres, daemonsEach));
+    process.stderr.write(`${formatResult(links.at(-1))}\n`);
+  }
+  const result: BenchResult = { sizes, hubs, links, slopes: computeSlopes(sizes, hubs) };
   process.stdout.write(`${formatResult(result)}\n`);
 }
 
--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -254,11 +254,11 @@
    */
   summaryHash: string;
   /**
-   * Mesh addresses of the reader candidates.
+   * Mesh addresses of the reader candidates; left out when the same as in the digest before.
    *
    * @maxItems 8
    */
-  readers: string[];
+  readers?: string[];
 }
 /**
  * Asks for the log entries above a version.
@@ -1086,8 +1086,7 @@
         "version",
         "headVersion",
         "summaryStampMs",
-        "summaryHash",
-        "readers"
+        "summaryHash"
       ],
       "properties": {
         "type": {
@@ -1112,7 +1111,7 @@
           "description": "Hash of the services held of the receiver's data centre."
         },
         "readers": {
-          "description": "Mesh addresses of the reader candidates.",
+          "description": "Mesh addresses of the reader candidates; left out when the same as in the digest before.",
           "type": "array",
           "maxItems": 8,
           "items": {
