Contain failing handlers; bound messages of entries, refutations and roster reads

Cause: an unexpected error in a handler ended the process as an unhandled rejection; 500 entries could pass the frame limit and be refused again and again; 1,600 daemons without contacts would ask the roster in one moment; two daemons of one name would refute each other without pause. Ruled out: ending the daemon on a defect that a peer's value can bring about. Conclusion: such a connection ends with a typed refusal, the rest goes on.

--- a/packages/mesh/src/CactusdealMeshExchange.ts
+++ b/packages/mesh/src/CactusdealMeshExchange.ts
@@ -7,6 +7,7 @@
   type SnapshotMessage,
 } from '@cactusdeal/schema';
 import type { Clock } from '@cactusdeal/shared';
+import { encodeFrame } from './CactusdealMeshFrame.js';
 import { checkValue } from './CactusdealMeshMessages.js';
 import type { Correspondent } from './CactusdealMeshPeer.js';
 import type { Router } from './CactusdealMeshRouter.js';
@@ -47,6 +48,8 @@
 const validateSnapshot = createValidator<Snapshot>('configuration#/definitions/Snapshot');
 
 const MAX_ENTRIES_PER_MESSAGE = 500;
+/** A message of several entries stays under this; one entry may be longer. */
+const MAX_ENTRIES_BYTES = 1024 * 1024;
 const MAX_REMEMBERED_SNAPSHOTS = 256;
 /** Changes younger than this may still be spreading and are not compared. */
 const SETTLE_MS = 1000;
@@ -80,10 +83,9 @@
       sendSnapshot(peer);
       return;
     }
-    for (let start = 0; start < entries.length; start += MAX_ENTRIES_PER_MESSAGE) {
-      const part = entries.slice(start, start + MAX_ENTRIES_PER_MESSAGE);
-      peer.send({ type: 'entries', entries: part as unknown as Record<string, unknown>[] });
-    }
+    splitEntries(entries).forEach((part) =>
+      peer.send({ type: 'entries', entries: part as unknown as Record<string, unknown>[] }),
+    );
   }
 
   function sendSnapshot(peer: Correspondent): void {
@@ -139,6 +141,25 @@
   };
 }
 
+/** Splits entries into parts that each fit in a message. */
+export function splitEntries(entries: readonly LogEntry[]): LogEntry[][] {
+  const parts: LogEntry[][] = [];
+  let part: LogEntry[] = [];
+  let partBytes = 0;
+  entries.forEach((entry) => {
+    const bytes = encodeFrame(entry).length;
+    const isFull = part.length >= MAX_ENTRIES_PER_MESSAGE || partBytes + bytes > MAX_ENTRIES_BYTES;
+    if (part.length === 0 || isFull) {
+      part = [];
+      partBytes = 0;
+      parts.push(part);
+    }
+    part.push(entry);
+    partBytes += bytes;
+  });
+  return parts;
+}
+
 function discardFirst(map: Map<string, number>): void {
   const [first] = map.keys();
   if (first !== undefined) map.delete(first);
--- a/packages/mesh/src/CactusdealMeshFailure.ts
+++ b/packages/mesh/src/CactusdealMeshFailure.ts
@@ -21,8 +21,8 @@
   Busy: 'PeerBusy',
   /** The peer is no reader candidate; its refusal names those that are. */
   NotReader: 'NotReader',
-  /** The peer takes frames too slowly. */
-  Slow: 'PeerSlow',
+  /** A message that is well formed made this daemon fail; the connection is given up. */
+  Defect: 'HandlerDefect',
   /** Nothing arrived for several heartbeats. */
   Silent: 'PeerSilent',
   /** The connection is no longer needed. */
--- a/packages/mesh/src/CactusdealMeshHandshake.ts
+++ b/packages/mesh/src/CactusdealMeshHandshake.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import type { HelloMessage, MemberRecord } from '@cactusdeal/schema';
-import { FailureError } from '@cactusdeal/shared';
+import { FailureError, formatCaught } from '@cactusdeal/shared';
 import {
   createConnection,
   type MeshConnection,
@@ -101,10 +101,10 @@
   connection.close();
 }
 
-/** Takes the mesh failure out of what was caught. */
+/** Takes the mesh failure out of what was caught; anything else is a defect of a handler. */
 export function toMeshFailure(caught: unknown): MeshFailure {
   if (caught instanceof FailureError) return caught.failure as MeshFailure;
-  throw caught;
+  return createMeshFailure(MeshFailureKind.Defect, formatCaught(caught));
 }
 
 function refuseMismatch(
--- a/packages/mesh/src/CactusdealMeshMembership.ts
+++ b/packages/mesh/src/CactusdealMeshMembership.ts
@@ -1,9 +1,11 @@
 import { createValidator, type MemberRecord, type Worker } from '@cactusdeal/schema';
+import { getMonotonicMs, type Log } from '@cactusdeal/shared';
 import type { Broadcast } from './CactusdealMeshBroadcast.js';
 import { computeRecordVersion, isNewer, MergeOutcome } from './CactusdealMeshMembers.js';
 import type { MemberTable } from './CactusdealMeshMembers.js';
 import { checkValue } from './CactusdealMeshMessages.js';
 import type { Overlay } from './CactusdealMeshOverlay.js';
+import { createRateLimit } from './CactusdealMeshRateLimit.js';
 import type { ReplicatedTable } from './CactusdealMeshTable.js';
 
 /** Keeps the member table and the broadcast in step. */
@@ -24,16 +26,20 @@
   readonly members: MemberTable;
   readonly broadcast: Broadcast;
   readonly overlay: Overlay;
+  readonly log: Log;
 }
 
 /** Records of one comparison that are few enough to be spread further at once. */
 const MAX_SPREAD_RECORDS = 16;
+const REFUTATIONS_PER_SECOND = 2;
+const REFUTATION_BURST = 8;
 
 const validateRecord = createValidator<MemberRecord>('messages#/definitions/MemberRecord');
 
 /** Creates the membership of one daemon. */
 export function createMembership(options: MembershipOptions): Membership {
   const { members, broadcast, overlay } = options;
+  const refutations = createRateLimit(REFUTATIONS_PER_SECOND, REFUTATION_BURST, getMonotonicMs);
 
   function publishRecord(record: MemberRecord): void {
     if (overlay.getDegree() === 0) return;
@@ -45,10 +51,17 @@
     publishRecord(members.getSelf());
   }
 
+  /** Two daemons of one name would refute each other without end; the digests still spread it. */
+  function publishRefutation({ state, incarnation }: MemberRecord): void {
+    if (!refutations.tryTake()) return;
+    options.log.warn('mesh-refuted', { state, incarnation });
+    publishSelf();
+  }
+
   function mergeRecord(record: MemberRecord): boolean {
     if (record.dataCentre !== options.dataCentre) return false;
     const outcome = members.merge(record);
-    if (outcome === MergeOutcome.Refuted) publishSelf();
+    if (outcome === MergeOutcome.Refuted) publishRefutation(record);
     return outcome === MergeOutcome.Changed;
   }
 
--- a/packages/mesh/src/CactusdealMeshOverlay.ts
+++ b/packages/mesh/src/CactusdealMeshOverlay.ts
@@ -161,6 +161,7 @@
 
 /** Failures after which the peer is told why its connection ends. */
 const PROTOCOL_FAILURES: ReadonlySet<MeshFailureKind> = new Set([
+  MeshFailureKind.Defect,
   MeshFailureKind.FrameMalformed,
   MeshFailureKind.FrameOversized,
   MeshFailureKind.MessageUnknown,
--- a/packages/mesh/src/CactusdealMeshParts.ts
+++ b/packages/mesh/src/CactusdealMeshParts.ts
@@ -176,6 +176,7 @@
     members,
     broadcast,
     overlay,
+    log: options.log,
   });
   const view = createRemoteView({
     memberId: options.id,
--- a/packages/mesh/src/CactusdealMeshSeeker.ts
+++ b/packages/mesh/src/CactusdealMeshSeeker.ts
@@ -74,6 +74,8 @@
   async function tryCandidates(): Promise<boolean> {
     if (await tryAll(listCandidates())) return true;
     if (overlay.getDegree() > 0 || hints.length > 0) return false;
+    // Spread over a heartbeat, so that a data centre that restarts does not ask all at once.
+    await waitMs(random() * options.heartbeatMs, signal);
     const found = await options.findContacts().catch(() => []);
     return tryAll(pickRandom(found.filter(isWanted), MEMBERS_PER_ROUND, random));
   }
--- a/packages/mesh/src/CactusdealMeshTypes.ts
+++ b/packages/mesh/src/CactusdealMeshTypes.ts
@@ -55,6 +55,7 @@
   publishEntry(entry: LogEntry): void;
   /** Spreads a small value in this data centre, for example a quarantined request; at most once per id. */
   publishNotice(topic: string, id: string, value: unknown): void;
+  /** Hears the notices that other daemons published, each id once. */
   observeNotices(listener: (topic: string, value: unknown) => void): () => void;
   /** Asks every daemon of the data centre for its version. */
   survey(version: number, timeoutMs: number): Promise<SurveyResult>;
