--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -31,6 +31,7 @@
   surveyAnswerMessage?: SurveyAnswerMessage;
   memberRejection?: MemberRejection;
   remoteItem?: RemoteItem;
+  surveyDeclineMessage?: SurveyDeclineMessage;
 }
 /**
  * What a data centre knows of one daemon.
@@ -253,11 +254,11 @@
    */
   summaryHash: string;
   /**
-   * Mesh addresses of the reader candidates.
+   * Mesh addresses of the reader candidates; left out when the same as in the digest before.
    *
    * @maxItems 8
    */
-  readers: string[];
+  readers?: string[];
 }
 /**
  * Asks for the log entries above a version.
@@ -426,6 +427,13 @@
    */
   readers: string[];
 }
+/**
+ * The sender was asked through another daemon already.
+ */
+export interface SurveyDeclineMessage {
+  type: 'survey-decline';
+  id: string;
+}
 
 /** The schema itself, for validation at run time. */
 export const messagesSchema = {
@@ -509,6 +517,9 @@
     },
     "remoteItem": {
       "$ref": "#/definitions/RemoteItem"
+    },
+    "surveyDeclineMessage": {
+      "$ref": "#/definitions/SurveyDeclineMessage"
     }
   },
   "definitions": {
@@ -1075,8 +1086,7 @@
         "version",
         "headVersion",
         "summaryStampMs",
-        "summaryHash",
-        "readers"
+        "summaryHash"
       ],
       "properties": {
         "type": {
@@ -1101,7 +1111,7 @@
           "description": "Hash of the services held of the receiver's data centre."
         },
         "readers": {
-          "description": "Mesh addresses of the reader candidates.",
+          "description": "Mesh addresses of the reader candidates; left out when the same as in the digest before.",
           "type": "array",
           "maxItems": 8,
           "items": {
@@ -1458,6 +1468,25 @@
           }
         }
       }
+    },
+    "SurveyDeclineMessage": {
+      "description": "The sender was asked through another daemon already.",
+      "type": "object",
+      "additionalProperties": false,
+      "required": [
+        "type",
+        "id"
+      ],
+      "properties": {
+        "type": {
+          "const": "survey-decline"
+        },
+        "id": {
+          "type": "string",
+          "minLength": 1,
+          "maxLength": 64
+        }
+      }
     }
   }
 } as const;
