Give each idempotency key a record of its own

Cause: claims shared a record for each window and shard, and gates that met on it wrote again and again. Shared records stay as an option for one writer that many gates would claim through. The property tests run both.

--- /dev/null
+++ b/packages/bench/src/CactusdealBenchClaims.ts
@@ -0,0 +1,152 @@
+import { createMemoryPlatform, type Platform } from '@cactusdeal/platform';
+import { createSeededRandom, getWallTimeMs, waitMs } from '@cactusdeal/shared';
+import { buildIdempotencyKey } from '@cactusdeal/traffic';
+import {
+  type ClaimVariant,
+  type ClaimVariantFactory,
+  KEY_VARIANT,
+  LOG_VARIANT,
+  PAGE_VARIANT,
+  WRITER_VARIANT,
+} from './CactusdealBenchClaimsVariants.js';
+import { runLoad } from './CactusdealBenchLoad.js';
+import type { CallEnding, LoadClass } from './CactusdealBenchLoadTypes.js';
+
+/** What one way of claiming cost the platform under one load. */
+export interface ClaimsReport {
+  readonly variant: string;
+  readonly gates: number;
+  readonly claimsPerSecond: number;
+  readonly granted: number;
+  readonly refused: number;
+  /** Calls to the platform that try to write, for each claim granted, outcomes included. */
+  readonly writesPerClaim: number;
+  readonly readsPerClaim: number;
+  readonly writesPerSecond: number;
+  /** Value bytes sent to the platform and back, for each claim granted. */
+  readonly bytesPerClaim: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+interface Counts {
+  writes: number;
+  reads: number;
+  bytes: number;
+}
+
+/** One way to the platform, in milliseconds. */
+const ONE_WAY_MS = 2;
+const SERVICE_MS = 40;
+const DEADLINE_MS = 2_000;
+const GATES = [1, 2, 4, 8, 16];
+const RATES = [20, 100];
+const WRITER_RATES = [100, 500, 2_000];
+
+/** Measures every way of claiming, with keys of now, at several rates and numbers of gates. */
+export async function runClaims(durationMs: number, seed: number): Promise<ClaimsReport[]> {
+  const reports: ClaimsReport[] = [];
+  for (const claimsPerSecond of RATES) {
+    for (const gates of GATES) {
+      const runs = [PAGE_VARIANT, LOG_VARIANT, KEY_VARIANT].map((factory) =>
+        runVariant(factory, gates, claimsPerSecond, durationMs, seed),
+      );
+      reports.push(...(await Promise.all(runs)));
+    }
+  }
+  for (const claimsPerSecond of WRITER_RATES) {
+    reports.push(await runVariant(WRITER_VARIANT, 1, claimsPerSecond, durationMs, seed));
+  }
+  return reports;
+}
+
+async function runVariant(
+  factory: ClaimVariantFactory,
+  gates: number,
+  claimsPerSecond: number,
+  durationMs: number,
+  seed: number,
+): Promise<ClaimsReport> {
+  const counts = { writes: 0, reads: 0, bytes: 0 };
+  const platform = createCountedPlatform(counts);
+  const variants = Array.from({ length: gates }, (_, index) =>
+    factory.create(platform, String(index + 1)),
+  );
+  const random = createSeededRandom(seed + 1);
+  const result = await runLoad({
+    classes: [buildLoadClass(claimsPerSecond)],
+    durationMs,
+    seed,
+    send: () => {
+      const variant = variants[Math.floor(random() * gates)] as ClaimVariant;
+      return sendClaim(variant, buildIdempotencyKey(getWallTimeMs(), random));
+    },
+  });
+  await Promise.all(variants.map((variant) => variant.close()));
+  const [measured] = result.classes;
+  const granted = measured?.good ?? 0;
+  return {
+    variant: factory.name,
+    gates,
+    claimsPerSecond,
+    granted,
+    refused: (measured?.sent ?? 0) - granted,
+    writesPerClaim: toHundredths(counts.writes / granted),
+    readsPerClaim: toHundredths(counts.reads / granted),
+    writesPerSecond: toHundredths((counts.writes / durationMs) * 1_000),
+    bytesPerClaim: Math.round(counts.bytes / granted),
+    p50Ms: measured?.latency.p50Ms ?? 0,
+    p99Ms: measured?.latency.p99Ms ?? 0,
+  };
+}
+
+function buildLoadClass(callsPerSecond: number): LoadClass {
+  const shape = { name: 'claims', method: 'POST', path: '/', bodyBytes: 0, isKeyed: true } as const;
+  return { ...shape, callsPerSecond, deadlineMs: DEADLINE_MS };
+}
+
+async function sendClaim(variant: ClaimVariant, key: string): Promise<CallEnding> {
+  const ticket = await variant.claim(key, getWallTimeMs() + DEADLINE_MS);
+  if (ticket === undefined) return { label: 'refused', isGood: false };
+  void waitMs(SERVICE_MS).then(() => ticket.complete(200));
+  return { label: 'ok', isGood: true };
+}
+
+/** A platform in this process behind a link with a delay, which counts calls and bytes of values. */
+function createCountedPlatform(counts: Counts): Platform {
+  const memory = createMemoryPlatform();
+  const call = async <T>(run: () => Promise<T>): Promise<T> => {
+    await waitMs(ONE_WAY_MS);
+    const answer = await run();
+    await waitMs(ONE_WAY_MS);
+    return answer;
+  };
+  const write = async (value: Uint8Array, run: () => ReturnType<Platform['createIfAbsent']>) => {
+    Object.assign(counts, { writes: counts.writes + 1, bytes: counts.bytes + value.byteLength });
+    const written = await call(run);
+    written.ifRight((outcome) => {
+      const back = outcome.written ? 0 : (outcome.current?.value.byteLength ?? 0);
+      Object.assign(counts, { bytes: counts.bytes + back });
+    });
+    return written;
+  };
+  return {
+    ...memory,
+    createIfAbsent: (key, value, leaseId) =>
+      write(value, () => memory.createIfAbsent(key, value, leaseId)),
+    compareAndSwap: (key, revision, value, leaseId) =>
+      write(value, () => memory.compareAndSwap(key, revision, value, leaseId)),
+    get: (key) => {
+      Object.assign(counts, { reads: counts.reads + 1 });
+      return call(() => memory.get(key));
+    },
+    grantLease: (ttlMs) => {
+      Object.assign(counts, { writes: counts.writes + 1 });
+      return call(() => memory.grantLease(ttlMs));
+    },
+  };
+}
+
+function toHundredths(number: number): number {
+  return Math.round(number * 100) / 100;
+}
--- a/packages/traffic/src/CactusdealTrafficClaims.ts
+++ b/packages/traffic/src/CactusdealTrafficClaims.ts
@@ -1,7 +1,12 @@
 import type { Platform } from '@cactusdeal/platform';
 import { type Clock, type Log, type Random, waitMs } from '@cactusdeal/shared';
 import { type Either, Left } from 'purify-ts';
-import { type ClaimPlace, computeClaimPlace, readKeyTime } from './CactusdealTrafficClaimsKey.js';
+import {
+  type ClaimGrouping,
+  type ClaimPlace,
+  computeClaimPlace,
+  readKeyTime,
+} from './CactusdealTrafficClaimsKey.js';
 import { createLeaseSource, type LeaseSource } from './CactusdealTrafficClaimsLease.js';
 import { ClaimPage } from './CactusdealTrafficClaimsPage.js';
 import { buildUnavailable, createPendingClaim } from './CactusdealTrafficClaimsPending.js';
@@ -21,6 +26,8 @@
   readonly random: Random;
   /** How long after its own time a key is remembered. */
   readonly retentionMs?: number;
+  /** Which keys share a record; each key has its own when absent. */
+  readonly grouping?: ClaimGrouping;
   readonly pause?: (durationMs: number, signal?: AbortSignal) => Promise<void>;
   readonly schedule?: Schedule;
   /** Longest wait for the last changes at the end. */
@@ -32,6 +39,9 @@
 
 const RETENTION_MS = 86_400_000;
 const LEAD_MS = 60_000;
+/** Longest wait between two tries of one record, and its least for each record in work. */
+const MOST_BACKOFF_MS = 1_000;
+const PAGE_BACKOFF_MS = 50;
 const LAZY_MS = 250;
 const CLOSE_MS = 2_000;
 /** Claims and changes that may wait for the platform. */
@@ -41,7 +51,11 @@
 /** While the platform fails, one claim in this time is let through to try it. */
 const PROBE_MS = 250;
 
-/** Creates claims that share one record of the platform for each window and shard of keys. */
+/**
+ * Creates claims. The record of a key, or the one that it shares, is written before the call is
+ * sent; once it is written no other attempt with the key is ever granted, unless that attempt gave
+ * the key back unsent.
+ */
 export function createClaims(options: ClaimsOptions): Claims {
   return new PagedClaims(options);
 }
@@ -77,10 +91,11 @@
     const time = readKeyTime(request.key, nowMs, bounds);
     const refusal = this.refuseEarly(request, nowMs);
     if (refusal !== undefined && time.isRight()) return Left(refusal);
+    const { service, key } = request;
     return time.caseOf<Promise<Claimed>>({
       Left: (failure) => Promise.resolve(Left(failure)),
       Right: (keyMs) =>
-        this.claimPlace(request, computeClaimPlace(request.service, request.key, keyMs)),
+        this.claimPlace(request, computeClaimPlace(service, key, keyMs, this.options.grouping)),
     });
   }
 
@@ -91,11 +106,17 @@
     if (nowMs >= request.deadlineAtMs) {
       return createNotRun(RefusalKind.DeadlinePassed, 'deadline passed before the key was claimed');
     }
-    if (this.isClosed || this.countWork() >= MAX_WORK) return buildUnavailable();
-    if (this.failingSinceMs === undefined) return undefined;
-    if (nowMs - this.lastProbeMs < PROBE_MS) return buildUnavailable(PROBE_MS);
+    return this.isClosed || this.isWithheld(nowMs) || this.countWork() >= MAX_WORK
+      ? buildUnavailable(PROBE_MS)
+      : undefined;
+  }
+
+  /** While the platform fails, only a claim now and then is let through to try it. */
+  private isWithheld(nowMs: number): boolean {
+    if (this.failingSinceMs === undefined) return false;
+    if (nowMs - this.lastProbeMs < PROBE_MS) return true;
     this.lastProbeMs = nowMs;
-    return undefined;
+    return false;
   }
 
   private countWork(): number {
@@ -150,14 +171,18 @@
       random,
       pause,
       recordAnswer: (isAnswered) => this.recordAnswer(isAnswered),
-      lazyMs: LAZY_MS,
+      lazyMs: this.options.grouping === undefined ? 0 : LAZY_MS,
+      getMostBackoffMs: () => Math.max(MOST_BACKOFF_MS, this.pages.size * PAGE_BACKOFF_MS),
     });
   }
 
   private evictPages(): void {
     if (this.pages.size <= MAX_IDLE_PAGES) return;
-    const [oldest] = [...this.pages].filter(([, page]) => page.isIdle());
-    if (oldest !== undefined) this.pages.delete(oldest[0]);
+    for (const [platformKey, page] of this.pages) {
+      if (!page.isIdle()) continue;
+      this.pages.delete(platformKey);
+      return;
+    }
   }
 
   private recordAnswer(isAnswered: boolean): void {
--- a/packages/traffic/src/CactusdealTrafficClaimsKey.ts
+++ b/packages/traffic/src/CactusdealTrafficClaimsKey.ts
@@ -8,10 +8,16 @@
 const TIME_DIGITS = 12;
 const HASH_DIGITS = 32;
 
-/** Length of a window of key times; every daemon of a deployment has to use the same. */
-export const CLAIM_WINDOW_MS = 10_000;
-/** Pages that share a window; every daemon of a deployment has to use the same. */
-export const CLAIM_SHARDS = 8;
+/**
+ * Keys whose claims share one record of the platform. Every daemon of a deployment has to use the
+ * same: two that differ would look for the claim on a key in different places.
+ */
+export interface ClaimGrouping {
+  /** Length of a window of key times, in milliseconds. */
+  readonly windowMs: number;
+  /** Records that share a window. */
+  readonly shards: number;
+}
 
 /** Which times of a key are taken, in milliseconds before and after now. */
 export interface KeyBounds {
@@ -23,7 +29,7 @@
 export interface ClaimPlace {
   /** Hash of service and key, 32 hexadecimal digits. */
   readonly hash: string;
-  /** Key of the platform's record that all claims of this window and shard share. */
+  /** Key of the platform's record, which other claims may share. */
   readonly platformKey: string;
 }
 
@@ -60,10 +66,16 @@
 }
 
 /** Computes the place of a claim; the same for the same service and key, whoever asks and when. */
-export function computeClaimPlace(service: string, key: string, keyMs: number): ClaimPlace {
+export function computeClaimPlace(
+  service: string,
+  key: string,
+  keyMs: number,
+  grouping?: ClaimGrouping,
+): ClaimPlace {
   const text = JSON.stringify([service, key.toLowerCase()]);
   const hash = createHash('sha256').update(text).digest('hex').slice(0, HASH_DIGITS);
-  const window = Math.floor(keyMs / CLAIM_WINDOW_MS);
-  const shard = Number.parseInt(hash.slice(0, 8), 16) % CLAIM_SHARDS;
+  if (grouping === undefined) return { hash, platformKey: `claim/key/${hash}` };
+  const window = Math.floor(keyMs / grouping.windowMs);
+  const shard = Number.parseInt(hash.slice(0, 8), 16) % grouping.shards;
   return { hash, platformKey: `claim/${window}/${shard}` };
 }
--- a/packages/traffic/src/CactusdealTrafficClaimsPage.ts
+++ b/packages/traffic/src/CactusdealTrafficClaimsPage.ts
@@ -49,8 +49,10 @@
   readonly pause: (durationMs: number, signal?: AbortSignal) => Promise<void>;
   /** Told of each answer and each failure of the platform. */
   readonly recordAnswer: (isAnswered: boolean) => void;
-  /** How long changes wait for a claim that they can be written with. */
+  /** How long changes wait for a claim that they can be written with, in milliseconds. */
   readonly lazyMs: number;
+  /** Longest wait before a failed call to the platform is tried again, in milliseconds. */
+  readonly getMostBackoffMs: () => number;
 }
 
 interface Waiting {
@@ -60,11 +62,10 @@
 }
 
 const LEAST_BACKOFF_MS = 2;
-const MOST_BACKOFF_MS = 1_000;
 const MAX_CONFLICT_BACKOFF = 6;
 
 /**
- * All claims of one window and shard, held in one record of the platform, which changes by
+ * The claims of one record of the platform, of one key or of all that share it, which changes by
  * compare-and-swap only. While one write is in flight, the next batch gathers; a writer that loses
  * the race is answered the winner's record and merges. An uncertain write is settled by trying
  * again against the same revision: either that write or the earlier one wins, never both.
@@ -148,23 +149,22 @@
     let conflicts = 0;
     while (this.hasWork() && !this.isStopped) {
       if (this.claims.size === 0) await this.waitForCompany();
-      const before = this.view;
       const result = await this.step();
       failures = result === undefined ? failures + 1 : 0;
       conflicts = result === false ? Math.min(conflicts + 1, MAX_CONFLICT_BACKOFF) : 0;
       if (failures > 0) await this.backOff(failures);
-      if (conflicts > 1 && this.view > before) await this.backOff(conflicts);
+      if (conflicts > 1) await this.backOff(conflicts);
     }
   }
 
   private async waitForCompany(): Promise<void> {
-    if (this.isClosing) return;
+    if (this.isClosing || this.parts.lazyMs === 0) return;
     this.lazyWait = new AbortController();
     await this.parts.pause(this.parts.lazyMs, this.lazyWait.signal);
   }
 
   private backOff(times: number): Promise<void> {
-    const most = Math.min(LEAST_BACKOFF_MS * 2 ** times, MOST_BACKOFF_MS);
+    const most = Math.min(LEAST_BACKOFF_MS * 2 ** times, this.parts.getMostBackoffMs());
     return this.parts.pause(most * this.parts.random());
   }
 
--- a/packages/traffic/src/__tests__/CactusdealTrafficClaimWorld.ts
+++ b/packages/traffic/src/__tests__/CactusdealTrafficClaimWorld.ts
@@ -42,6 +42,8 @@
   readonly crashes: readonly { readonly atMs: number; readonly holder: number }[];
   /** From when on the platform has no fault. */
   readonly healsAtMs: number;
+  /** All keys share one record. */
+  readonly isGrouped: boolean;
 }
 
 /** One answer to an attempt, and what upstreams had recorded of the key when it was given. */
@@ -82,7 +84,9 @@
     const { clock, schedule, pause } = time;
     const platform = createFaultyPlatform(holder);
     const log = createSilentLog();
-    const claims = createClaims({ platform, holderId, clock, log, random, schedule, pause });
+    const common = { platform, holderId, clock, log, random, schedule, pause };
+    const grouping = { windowMs: 10_000, shards: 1 };
+    const claims = createClaims(options.isGrouped ? { ...common, grouping } : common);
     return Object.assign(holder, { claims });
   }
 
--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficClaimsProperties.test.ts
+++ b/packages/traffic/src/__tests__/unit/CactusdealTrafficClaimsProperties.test.ts
@@ -53,12 +53,13 @@
   it('runs a key at most once and answers what happened', async () => {
     await fc.assert(
       fc.asyncProperty(
+        fc.boolean(),
         fc.array(anyFault, { minLength: 1, maxLength: 30 }),
         fc.array(anyAttempt, { minLength: 1, maxLength: 12 }),
         fc.array(anyCrash, { maxLength: 2 }),
-        async (faults, attempts, crashes) => {
+        async (isGrouped, faults, attempts, crashes) => {
           const all = [...attempts, ...lastResends];
-          const world = { faults, attempts: all, crashes, healsAtMs: HEALS_AT_MS };
+          const world = { faults, attempts: all, crashes, healsAtMs: HEALS_AT_MS, isGrouped };
           const { runs, answers } = await runClaimWorld(world);
           runs.forEach((count) => assert.ok(count <= 1, `ran ${count} times`));
           answers.forEach(assertConsistent);
@@ -71,12 +72,13 @@
   it('gives a key back that was claimed and never sent, so that a resend runs', async () => {
     await fc.assert(
       fc.asyncProperty(
+        fc.boolean(),
         fc.array(anyFault, { minLength: 1, maxLength: 30 }),
         fc.array(anyAttempt, { minLength: 1, maxLength: 6 }),
-        async (faults, drawn) => {
+        async (isGrouped, faults, drawn) => {
           const attempts = drawn.map((attempt): Attempt => ({ ...attempt, end: 'notSent' }));
           const all = [...attempts, ...lastResends];
-          const world = { faults, attempts: all, crashes: [], healsAtMs: HEALS_AT_MS };
+          const world = { faults, attempts: all, crashes: [], healsAtMs: HEALS_AT_MS, isGrouped };
           const { runs } = await runClaimWorld(world);
           assert.deepEqual([...runs.values()], [1, 1, 1]);
         },
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -1,4 +1,4 @@
-export { buildIdempotencyKey } from './CactusdealTrafficClaimsKey.js';
+export { buildIdempotencyKey, type ClaimGrouping } from './CactusdealTrafficClaimsKey.js';
 export { type ClaimsOptions, createClaims } from './CactusdealTrafficClaims.js';
 export {
   createGateQueue,
