--- a/packages/bench/src/CactusdealBenchLoadHttp.ts
+++ b/packages/bench/src/CactusdealBenchLoadHttp.ts
@@ -61,7 +61,8 @@
 }
 
 function buildHeaders(loadClass: LoadClass, options: HttpSenderOptions): Record<string, string> {
-  const headers: Record<string, string> = { [CallHeader.DeadlineMs]: String(loadClass.deadlineMs) };
+  const deadline = { [CallHeader.DeadlineMs]: String(loadClass.deadlineMs) };
+  const headers: Record<string, string> = { ...loadClass.headers, ...deadline };
   if (!loadClass.isKeyed) return headers;
   const key = buildIdempotencyKey(options.clock(), options.random);
   return { ...headers, [CallHeader.IdempotencyKey]: key };
--- a/packages/bench/src/CactusdealBenchLoadPlan.ts
+++ b/packages/bench/src/CactusdealBenchLoadPlan.ts
@@ -9,7 +9,7 @@
 
 const DEFAULTS = { method: 'GET', bodyBytes: 0, isKeyed: false, deadlineMs: 5_000 };
 
-const CHECKS: Readonly<Record<keyof LoadClass, (value: unknown) => boolean>> = {
+const CHECKS: Readonly<Record<keyof Required<LoadClass>, (value: unknown) => boolean>> = {
   name: (value) => typeof value === 'string' && value.length > 0,
   callsPerSecond: (value) => typeof value === 'number' && value > 0,
   method: (value) => METHODS.includes(value),
@@ -17,6 +17,8 @@
   bodyBytes: (value) => typeof value === 'number' && value >= 0,
   isKeyed: (value) => typeof value === 'boolean',
   deadlineMs: (value) => typeof value === 'number' && value > 0,
+  headers: (value) =>
+    value === undefined || Object.values(value as object).every((text) => typeof text === 'string'),
 };
 
 /** Parses the `[[class]]` tables of a load plan in TOML; the failure names every wrong key. */
--- a/packages/bench/src/CactusdealBenchLoadTypes.ts
+++ b/packages/bench/src/CactusdealBenchLoadTypes.ts
@@ -10,6 +10,8 @@
   readonly isKeyed: boolean;
   /** Time that callers wait, in milliseconds. */
   readonly deadlineMs: number;
+  /** Further header fields of every call. */
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** One call, with the time at which the plan wants it sent. */
--- a/packages/traffic/src/CactusdealTrafficClaims.ts
+++ b/packages/traffic/src/CactusdealTrafficClaims.ts
@@ -48,6 +48,8 @@
 const MAX_WORK = 10_000;
 /** Pages that are remembered without having anything to write. */
 const MAX_IDLE_PAGES = 64;
+/** Time without an answer of the platform after which it is taken to fail. */
+const PATIENCE_MS = 250;
 /** While the platform fails, one claim in this time is let through to try it. */
 const PROBE_MS = 250;
 
@@ -113,7 +115,8 @@
 
   /** While the platform fails, only a claim now and then is let through to try it. */
   private isWithheld(nowMs: number): boolean {
-    if (this.failingSinceMs === undefined) return false;
+    if (this.failingSinceMs === undefined || nowMs - this.failingSinceMs < PATIENCE_MS)
+      return false;
     if (nowMs - this.lastProbeMs < PROBE_MS) return true;
     this.lastProbeMs = nowMs;
     return false;
--- a/packages/traffic/src/CactusdealTrafficQuarantine.ts
+++ b/packages/traffic/src/CactusdealTrafficQuarantine.ts
@@ -17,7 +17,9 @@
   readonly leastQuarantineMs?: number;
   /** How long crashes are remembered after the last one, or after the quarantine. */
   readonly suspicionMs?: number;
-  /** Most fingerprints remembered. */
+  /** How long a success proves that a request does not crash upstreams. */
+  readonly trustMs?: number;
+  /** Most fingerprints remembered, of suspects and of successes each. */
   readonly capacity?: number;
 }
 
@@ -33,6 +35,9 @@
 const QUARANTINE_MS = 600_000;
 const LEAST_QUARANTINE_MS = 60_000;
 const SUSPICION_MS = 600_000;
+const TRUST_MS = 10_000;
+/** Calls of one fingerprint that are cut off within this time were cut off by one crash. */
+const SAME_CRASH_MS = 1_000;
 const CAPACITY = 10_000;
 
 interface Counts {
@@ -44,14 +49,15 @@
 }
 
 interface Suspect extends Counts {
+  readonly lastOwnCrashMs: number;
   readonly heldUntilMs: number;
   readonly expiresAtMs: number;
 }
 
 /**
  * Creates a quarantine. A request that was in flight at two crashes is kept away, for a time that is
- * shorter the more calls shared the blame; a success clears it. Memory is bounded: the fingerprint
- * unseen for longest goes first.
+ * shorter the more calls shared the blame. A success clears it, and proves for a while that requests
+ * alike do no harm: they may be many. Memory is bounded: what is unseen for longest goes first.
  */
 export function createQuarantine(options: QuarantineOptions): SharedQuarantine {
   return new CrashQuarantine(options);
@@ -60,6 +66,9 @@
 class CrashQuarantine implements SharedQuarantine {
   private readonly suspects = new Map<string, Suspect>();
 
+  /** When a request last succeeded, in milliseconds. */
+  private readonly successes = new Map<string, number>();
+
   private readonly clock: Clock;
 
   public constructor(private readonly options: QuarantineOptions) {
@@ -74,23 +83,33 @@
   }
 
   public recordCrash(fingerprint: string, inFlight = 1): void {
-    const known = this.find(fingerprint) ?? createCounts();
+    const known = this.find(fingerprint) ?? createSuspect();
+    const nowMs = this.clock();
+    if (this.isTrusted(fingerprint) || nowMs - known.lastOwnCrashMs < SAME_CRASH_MS) return;
     const own = known.own + 1;
     const leastInFlight = Math.min(known.leastInFlight, inFlight);
-    this.hold(fingerprint, { own, heard: known.heard, leastInFlight });
+    this.hold(fingerprint, { ...known, own, leastInFlight, lastOwnCrashMs: nowMs });
     this.options.publish(fingerprint, own, leastInFlight);
   }
 
   public mergeNotice(source: string, fingerprint: string, crashes: number, inFlight = 1): void {
-    const known = this.find(fingerprint) ?? createCounts();
-    if ((known.heard.get(source) ?? 0) >= crashes) return;
+    const known = this.find(fingerprint) ?? createSuspect();
+    if (this.isTrusted(fingerprint) || (known.heard.get(source) ?? 0) >= crashes) return;
     const heard = new Map(known.heard).set(source, crashes);
     const leastInFlight = Math.min(known.leastInFlight, inFlight);
-    this.hold(fingerprint, { own: known.own, heard, leastInFlight });
+    this.hold(fingerprint, { ...known, heard, leastInFlight });
   }
 
   public recordSuccess(fingerprint: string): void {
     this.suspects.delete(fingerprint);
+    this.successes.delete(fingerprint);
+    this.successes.set(fingerprint, this.clock());
+    this.trim(this.successes);
+  }
+
+  private isTrusted(fingerprint: string): boolean {
+    const { trustMs = TRUST_MS } = this.options;
+    return this.clock() - (this.successes.get(fingerprint) ?? -Infinity) < trustMs;
   }
 
   public list(): readonly { fingerprint: string; untilMs: number; crashes: number }[] {
@@ -106,6 +125,7 @@
 
   public close(): void {
     this.suspects.clear();
+    this.successes.clear();
   }
 
   private find(fingerprint: string): Suspect | undefined {
@@ -115,16 +135,20 @@
     return undefined;
   }
 
-  private hold(fingerprint: string, counts: Counts): void {
+  private hold(fingerprint: string, counts: Omit<Suspect, 'heldUntilMs' | 'expiresAtMs'>): void {
     const { crashLimit = CRASH_LIMIT, suspicionMs = SUSPICION_MS } = this.options;
     const isHeld = countCrashes(counts) >= crashLimit;
     const heldUntilMs = isHeld ? this.clock() + this.computeHeldMs(counts.leastInFlight) : 0;
     const expiresAtMs = Math.max(this.clock(), heldUntilMs) + suspicionMs;
     this.suspects.delete(fingerprint);
     this.suspects.set(fingerprint, { ...counts, heldUntilMs, expiresAtMs });
+    this.trim(this.suspects);
+  }
+
+  private trim(entries: Map<string, unknown>): void {
     const { capacity = CAPACITY } = this.options;
-    const [oldest] = this.suspects.keys();
-    if (this.suspects.size > capacity && oldest !== undefined) this.suspects.delete(oldest);
+    const [oldest] = entries.keys();
+    if (entries.size > capacity && oldest !== undefined) entries.delete(oldest);
   }
 
   private computeHeldMs(leastInFlight: number): number {
@@ -133,8 +157,9 @@
   }
 }
 
-function createCounts(): Counts {
-  return { own: 0, heard: new Map(), leastInFlight: Infinity };
+function createSuspect(): Suspect {
+  const times = { lastOwnCrashMs: -Infinity, heldUntilMs: 0, expiresAtMs: 0 };
+  return { own: 0, heard: new Map(), leastInFlight: Infinity, ...times };
 }
 
 function countCrashes(counts: Counts): number {
