--- a/packages/daemon/src/CactusdealDaemonWiring.ts
+++ b/packages/daemon/src/CactusdealDaemonWiring.ts
@@ -11,7 +11,6 @@
 } from '@cactusdeal/traffic';
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { listAdminRoutes } from './CactusdealDaemonAdmin.js';
-import { convertClaimDeadlines } from './CactusdealDaemonClaims.js';
 import { createDirectory } from './CactusdealDaemonDirectory.js';
 import { type HttpListener, startHttpListener } from './CactusdealDaemonHttp.js';
 import { createMeshQuarantine, startMesh } from './CactusdealDaemonMesh.js';
@@ -94,11 +93,7 @@
   });
   const holderId = settings.id;
   const { random } = Math;
-  const datedClaims = createClaims({ platform, holderId, clock: getWallTimeMs, log, random });
-  const claims = convertClaimDeadlines(datedClaims, {
-    gate: getMonotonicMs,
-    wall: getWallTimeMs,
-  });
+  const claims = createClaims({ platform, holderId, clock: getWallTimeMs, log, random });
   const quarantine = createMeshQuarantine(mesh, settings.id, getWallTimeMs);
   holder.observe(directory.refresh);
   mesh.observeMembers(directory.refresh);
