--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/CactusdealDaemonSettings.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import { readdirSync, readFileSync } from 'node:fs';
+import { describe, it } from 'node:test';
+import { applyOperations, createEmptySnapshot, validateSnapshot } from '@cactusdeal/configuration';
+import type { Operation } from '@cactusdeal/schema';
+import { parse } from 'smol-toml';
+import { parseSettings } from '../../index.js';
+
+const DEPLOY = new URL('../../../../../deploy/', import.meta.url);
+
+const LEAST = `
+cluster = "oviedo"
+dataCentre = "centro"
+listen = { mesh = "127.0.0.1:1", calls = "127.0.0.1:2", admin = "127.0.0.1:3" }
+platform = { url = "http://127.0.0.1:9" }
+`;
+
+const faultCases = [
+  { name: 'no TOML at all', text: 'cluster = ', kind: 'SettingsMalformed', paths: [] },
+  {
+    name: 'every missing table',
+    text: '',
+    kind: 'SettingsInvalid',
+    paths: ['cluster', 'dataCentre', 'listen', 'platform'],
+  },
+  {
+    name: 'a port out of range beside an unknown key',
+    text: LEAST.replace('127.0.0.1:2', '127.0.0.1:70000').concat('colour = "red"\n'),
+    kind: 'SettingsInvalid',
+    paths: ['listen.calls', 'colour'],
+  },
+  {
+    name: 'an IP number out of range',
+    text: LEAST.replace('127.0.0.1:1', '300.0.0.1:1'),
+    kind: 'SettingsInvalid',
+    paths: ['listen.mesh'],
+  },
+];
+
+function listDeployFiles(): readonly string[] {
+  return readdirSync(DEPLOY, { recursive: true })
+    .map(String)
+    .filter((file) => file.endsWith('.toml'));
+}
+
+describe('parseSettings', () => {
+  faultCases.forEach(({ name, text, kind, paths }) => {
+    it(`refuses ${name}`, () => {
+      const failure = parseSettings(text).swap().unsafeCoerce();
+      assert.equal(failure.kind, kind);
+      const found = failure.faults.map(({ path }) => path);
+      assert.deepEqual([...new Set(found)].sort(), [...paths].sort());
+    });
+  });
+
+  it('fills in the id and the advertised addresses', () => {
+    const settings = parseSettings(LEAST).unsafeCoerce();
+    assert.equal(settings.id, '127.0.0.1:1');
+    assert.deepEqual(settings.advertise, { mesh: '127.0.0.1:1', calls: '127.0.0.1:2' });
+  });
+
+  listDeployFiles()
+    .filter((file) => !file.endsWith('configuration.toml'))
+    .forEach((file) => {
+      it(`takes the example ${file}`, () => {
+        const result = parseSettings(readFileSync(new URL(file, DEPLOY), 'utf8'));
+        assert.deepEqual(result.swap().toMaybe().extract(), undefined);
+      });
+    });
+
+  listDeployFiles()
+    .filter((file) => file.endsWith('configuration.toml'))
+    .forEach((file) => {
+      it(`the configuration ${file} is valid`, () => {
+        const value = parse(readFileSync(new URL(file, DEPLOY), 'utf8'));
+        const operations = value.operations as unknown as Operation[];
+        const result = applyOperations(createEmptySnapshot(), operations, 1).unsafeCoerce();
+        assert.deepEqual(validateSnapshot(result), []);
+        assert.ok(Object.keys(result.routes).length > 0);
+      });
+    });
+});
