--- a/packages/testing/src/CactusdealTestingAdmin.ts
+++ b/packages/testing/src/CactusdealTestingAdmin.ts
@@ -16,6 +16,8 @@
   readonly version: number;
   readonly headVersion: number;
   readonly rejections: readonly { readonly version: number }[];
+  /** Whether it reads the platform for its data centre. */
+  readonly isReader: boolean;
 }
 
 type AdminHost = Pick<Host, 'id' | 'adminAddress'>;
--- a/packages/testing/src/CactusdealTestingFaultProxy.ts
+++ b/packages/testing/src/CactusdealTestingFaultProxy.ts
@@ -40,6 +40,8 @@
   getOpenConnections(): number;
   /** Connections accepted since the start. */
   getAcceptedConnections(): number;
+  /** Listens again after a mirrored target had stopped. */
+  startListening(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -51,6 +53,8 @@
 }
 
 interface ProxyState {
+  readonly target: string;
+  readonly isMirroring: boolean;
   readonly connections: Set<Connection>;
   readonly faults: Readonly<Record<'forward' | 'backward', PipeFaults>>;
   isCut: boolean;
@@ -60,18 +64,21 @@
 /** Starts a relay to `target`, an IP number and port; it listens on a free port of 127.0.0.1. */
 export async function startFaultProxy(options: {
   readonly target: string;
-  readonly listenPort?: number;
+  /** Stops listening when the target does, so that a dead target refuses connections as it would. */
+  readonly isMirroring?: boolean;
 }): Promise<FaultProxy> {
   const state: ProxyState = {
+    target: options.target,
+    isMirroring: options.isMirroring ?? false,
     connections: new Set(),
     faults: { forward: createFaults(), backward: createFaults() },
     isCut: false,
     accepted: 0,
   };
   const server = net.createServer({ allowHalfOpen: true }, (near) =>
-    acceptConnection(state, near, options.target),
+    acceptConnection(state, near, server),
   );
-  server.listen(options.listenPort ?? 0, '127.0.0.1');
+  server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as net.AddressInfo;
   return buildProxy(state, server, `127.0.0.1:${port}`);
@@ -81,28 +88,43 @@
   return { delayMs: 0, isStalled: false, isCut: false, bytes: 0 };
 }
 
-function acceptConnection(state: ProxyState, near: net.Socket, target: string): void {
+function acceptConnection(state: ProxyState, near: net.Socket, server: net.Server): void {
   Object.assign(state, { accepted: state.accepted + 1 });
   if (state.isCut) {
     near.resetAndDestroy();
     return;
   }
-  const [host, port] = target.split(':');
+  const [host, port] = state.target.split(':');
   const far = net.connect({ host, port: Number(port), allowHalfOpen: true, noDelay: true });
   near.setNoDelay(true);
   const connection: Connection = {
     near,
     far,
     forward: createPipe(near, far, state.faults.forward),
-    backward: createPipe(far, near, state.faults.backward),
+    backward: createPipe(far, near, state.faults.backward, () => checkTarget(state, server)),
   };
   state.connections.add(connection);
   [near, far].forEach((socket) => {
-    socket.on('error', () => closeConnection(state, connection));
+    socket.on('error', () => {
+      checkTarget(state, server).then(() => closeConnection(state, connection));
+    });
     socket.on('close', () => finishConnection(state, connection));
   });
 }
 
+/** Stops listening when the target no longer does. */
+async function checkTarget(state: ProxyState, server: net.Server): Promise<void> {
+  if (!state.isMirroring || !server.listening) return;
+  const [host, port] = state.target.split(':');
+  const probe = net.connect({ host, port: Number(port) });
+  const isOpen = await once(probe, 'connect').then(
+    () => true,
+    () => false,
+  );
+  probe.destroy();
+  if (!isOpen) server.close();
+}
+
 /** Forgets a connection once both its sockets are closed. */
 function finishConnection(state: ProxyState, connection: Connection): void {
   if (connection.near.closed && connection.far.closed) state.connections.delete(connection);
@@ -149,9 +171,15 @@
     getByteCounts: () => ({ forward: faults.forward.bytes, backward: faults.backward.bytes }),
     getOpenConnections: () => state.connections.size,
     getAcceptedConnections: () => state.accepted,
+    startListening: async () => {
+      if (server.listening) return;
+      server.listen(Number(address.split(':')[1]), '127.0.0.1');
+      await once(server, 'listening');
+    },
     close: async () => {
-      server.close();
       resetAll();
+      if (!server.listening) return;
+      server.close();
       await once(server, 'close');
     },
   };
--- a/packages/testing/src/CactusdealTestingHost.ts
+++ b/packages/testing/src/CactusdealTestingHost.ts
@@ -33,7 +33,10 @@
   const id = settings.id ?? settings.listen.mesh;
   const file = path.join(options.directory, `${id}.toml`);
   await writeFile(file, stringify(settings));
-  const upstreamLink = await startFaultProxy({ target: `127.0.0.1:${options.upstreamPort}` });
+  const upstreamLink = await startFaultProxy({
+    target: `127.0.0.1:${options.upstreamPort}`,
+    isMirroring: true,
+  });
   const state: HostState = { daemon: undefined, upstreams: [] };
   return {
     id,
@@ -75,6 +78,7 @@
       Object.assign(state, { daemon });
     },
     startUpstream: async () => {
+      await upstreamLink.startListening();
       state.upstreams.push(await startUpstreamProcess(options, upstreamLink.address));
     },
   };
--- a/packages/testing/src/CactusdealTestingLedger.ts
+++ b/packages/testing/src/CactusdealTestingLedger.ts
@@ -42,7 +42,7 @@
       return [
         ...results.flatMap(listWrongAnswers),
         ...listFalseRefusals(results, runs),
-        ...listRepeatedKeys(runs),
+        ...listRepeatedKeys(results, runs),
       ].slice(0, MAX_BREACHES);
     },
   };
@@ -63,9 +63,10 @@
     });
 }
 
-function listRepeatedKeys(runs: readonly RunRecord[]): string[] {
+function listRepeatedKeys(results: readonly CallResult[], runs: readonly RunRecord[]): string[] {
+  const keys = new Set(results.map(({ spec }) => spec.idempotencyKey));
   const workersOfKey = new Map<string, string[]>();
-  const keyed = runs.filter(({ idempotencyKey }) => idempotencyKey !== '');
+  const keyed = runs.filter(({ idempotencyKey }) => keys.has(idempotencyKey));
   keyed.forEach(({ idempotencyKey, worker }) => {
     workersOfKey.set(idempotencyKey, [...(workersOfKey.get(idempotencyKey) ?? []), worker]);
   });
--- a/packages/testing/src/CactusdealTestingPipe.ts
+++ b/packages/testing/src/CactusdealTestingPipe.ts
@@ -26,8 +26,16 @@
   readonly bytes: Buffer | undefined;
 }
 
-/** Relays `from` to `to` through a delay line; the line pauses its source when it is full. */
-export function createPipe(from: net.Socket, to: net.Socket, faults: PipeFaults): Pipe {
+/**
+ * Relays `from` to `to` through a delay line; the line pauses its source when it is full. The end of
+ * the stream is passed on after `beforeEnd`.
+ */
+export function createPipe(
+  from: net.Socket,
+  to: net.Socket,
+  faults: PipeFaults,
+  beforeEnd: () => Promise<void> = () => Promise.resolve(),
+): Pipe {
   const held: HeldChunk[] = [];
   let heldBytes = 0;
   let timer: NodeJS.Timeout | undefined;
@@ -38,7 +46,9 @@
     Object.assign(faults, { bytes: faults.bytes + bytes.length });
     hold(bytes);
   });
-  from.on('end', () => hold(undefined));
+  from.on('end', () => {
+    beforeEnd().then(() => hold(undefined));
+  });
   to.on('drain', flush);
 
   function hold(bytes: Buffer | undefined): void {
--- a/packages/testing/src/CactusdealTestingUpstream.ts
+++ b/packages/testing/src/CactusdealTestingUpstream.ts
@@ -90,8 +90,8 @@
     slowFactor: 1,
     claimedHealth: undefined,
     isRefusing: false,
-    crashPath: undefined,
-    crashBody: undefined,
+    crashPath: null,
+    crashBody: null,
     isHolding: false,
     isCuttingShort: false,
     isSilent: false,
@@ -157,7 +157,7 @@
   const record = startRecord(state, request);
   const { behaviour } = state;
   response.on('close', () => finishRecord(state, record, response));
-  if (behaviour.crashPath !== undefined && record.path.startsWith(behaviour.crashPath))
+  if (typeof behaviour.crashPath === 'string' && record.path.startsWith(behaviour.crashPath))
     stopAbruptly();
   const bodyHash = await readBody(state, request, record);
   await waitMs(computeServiceMs(state, request));
@@ -212,7 +212,7 @@
     const bytes = chunk as Buffer;
     Object.assign(record, { bodyBytes: record.bodyBytes + bytes.length });
     hash.update(bytes);
-    if (crashBody !== undefined && bytes.includes(crashBody)) stopAbruptly();
+    if (typeof crashBody === 'string' && bytes.includes(crashBody)) stopAbruptly();
   }
   return hash.digest('hex');
 }
--- a/packages/testing/src/CactusdealTestingUpstreamTypes.ts
+++ b/packages/testing/src/CactusdealTestingUpstreamTypes.ts
@@ -24,9 +24,9 @@
   /** Answers 503 without running the request. */
   isRefusing: boolean;
   /** Exits at once when a request's path starts with this. */
-  crashPath: string | undefined;
+  crashPath: string | null | undefined;
   /** Exits at once when a request's body contains this. */
-  crashBody: string | undefined;
+  crashBody: string | null | undefined;
   /** Runs requests but keeps their answers until this is false again. */
   isHolding: boolean;
   /** Sends half of each answer and resets the connection. */
--- /dev/null
+++ b/packages/testing/src/__tests__/process/CactusdealTestingMatrixRun.ts
@@ -0,0 +1,156 @@
+import assert from 'node:assert/strict';
+import { createSeededRandom, formatCaught, invariant, waitMs } from '@cactusdeal/shared';
+import {
+  type Cluster,
+  createIdempotencyKey,
+  createLedger,
+  startVersionWatch,
+  waitUntil,
+} from '../../index.js';
+import {
+  DATA_CENTRES,
+  findReader,
+  settleCluster,
+  startBackground,
+} from './CactusdealTestingMatrixCluster.js';
+import { MATRIX_FAULTS } from './CactusdealTestingMatrixFaults.js';
+import { MATRIX_STEPS } from './CactusdealTestingMatrixSteps.js';
+import type {
+  CellContext,
+  MatrixFault,
+  MatrixStep,
+  StepResult,
+} from './CactusdealTestingMatrixTypes.js';
+
+const BEGIN_TIMEOUT_MS = 3000;
+const ACT_LIMIT_MS = 4000;
+const SEED = 71;
+const MAX_FAILURE_LENGTH = 300;
+
+/** One cell of the fault matrix. */
+export interface MatrixCell {
+  readonly fault: MatrixFault;
+  readonly step: MatrixStep;
+  /** Why the fault cannot meet the step; undefined when it can. */
+  readonly impossible: string | undefined;
+}
+
+const CONTROL_STEPS = ['plan', 'confirm', 'log write', 'read', 'dissemination', 'apply'];
+
+/** Every fault at every step. */
+export const MATRIX_CELLS: readonly MatrixCell[] = MATRIX_FAULTS.flatMap((fault) =>
+  MATRIX_STEPS.map((step) => ({ fault, step, impossible: explainImpossible(fault, step) })),
+);
+
+/** Finds a cell by the names of its fault and step. */
+export function findCell(faultName: string, stepName: string): MatrixCell {
+  const found = MATRIX_CELLS.find(
+    ({ fault, step }) => fault.name === faultName && step.name === stepName,
+  );
+  invariant(found !== undefined, `no cell ${faultName} / ${stepName}`);
+  return found;
+}
+
+/** Formats a cell as its name in tests and tables. */
+export function formatCell({ fault, step }: MatrixCell): string {
+  return `${step.name}: ${fault.name}`;
+}
+
+/**
+ * Runs one cell and checks what must always hold. Rejects with what did not; the cluster is whole
+ * again afterwards, or the settling itself has failed.
+ */
+export async function runCell(cluster: Cluster, cell: MatrixCell, label: string): Promise<void> {
+  const context = await createContext(cluster, label);
+  const { fault, step } = cell;
+  const stopBackground = startBackground(cluster, context.ledger, {
+    createId: context.createId,
+    createKey: createKeys(label),
+  });
+  const failures: string[] = [];
+  const attempt = async (what: string, run: () => Promise<void>): Promise<void> => {
+    await run().catch((caught: unknown) => failures.push(`${what}: ${formatCaught(caught)}`));
+  };
+  let result: StepResult = {};
+  await attempt('prepare', async () => step.prepare?.(context, fault));
+  await attempt('step', async () => {
+    result = await runStep(context, cell, attempt);
+  });
+  await attempt('settle', async () => {
+    await settleCluster(cluster);
+  });
+  if (failures.length === 0) await attempt('check', () => step.check(context, result, fault));
+  await stopBackground();
+  await attempt('close', () => context.watch.close());
+  await attempt('calls', async () => {
+    failures.push(...(await context.ledger.collectBreaches(cluster.hosts)));
+  });
+  failures.push(...context.watch.getBreaches());
+  assert.ok(failures.length === 0, failures.map(formatLine).join('; '));
+}
+
+function formatLine(text: string): string {
+  return text.replaceAll(/\s+/g, ' ').slice(0, MAX_FAILURE_LENGTH);
+}
+
+async function runStep(
+  context: CellContext,
+  { fault, step }: MatrixCell,
+  attempt: (what: string, run: () => Promise<void>) => Promise<void>,
+): Promise<StepResult> {
+  const isMidway = fault.isMidway && step.hasBegun !== undefined;
+  if (!isMidway) await fault.inject(context);
+  const act = step.act(context);
+  act.catch(() => {});
+  if (isMidway) {
+    await waitUntil(() => step.hasBegun?.(context), {
+      what: 'the step begins',
+      timeoutMs: BEGIN_TIMEOUT_MS,
+    });
+    await fault.inject(context);
+  }
+  await step.release?.(context);
+  const limit = new AbortController();
+  await Promise.race([act.catch(() => {}), waitMs(ACT_LIMIT_MS, limit.signal)]);
+  limit.abort();
+  await attempt('heal', () => fault.heal(context));
+  await context.cluster.heal();
+  return act;
+}
+
+async function createContext(cluster: Cluster, label: string): Promise<CellContext> {
+  const [first, second] = DATA_CENTRES;
+  const reader = await findReader(cluster, first);
+  const actor = cluster.listHosts(first).find((host) => host !== reader);
+  const other = cluster.listHosts(second)[0];
+  invariant(actor !== undefined && other !== undefined, 'too few hosts');
+  let count = 0;
+  return {
+    ...{ cluster, label, actor, other, reader },
+    ledger: createLedger(),
+    watch: startVersionWatch(cluster.hosts),
+    createId: () => {
+      count += 1;
+      return `${label}-${count}`;
+    },
+  };
+}
+
+function createKeys(label: string): () => string {
+  const seed = [...label].reduce((sum, char) => sum * 31 + char.charCodeAt(0), SEED);
+  const random = createSeededRandom(seed);
+  return () => createIdempotencyKey(Date.now(), random);
+}
+
+function explainImpossible(fault: MatrixFault, step: MatrixStep): string | undefined {
+  if (fault.name === 'a request crashes each upstream' && CONTROL_STEPS.includes(step.name)) {
+    return 'the request reaches upstreams only, which have no part in this step';
+  }
+  if (fault.name === 'the upstream dies' && CONTROL_STEPS.includes(step.name)) {
+    return 'an upstream has no part in this step';
+  }
+  if (fault.name === 'the upstream dies' && step.name === 'announce') {
+    return 'the step itself begins with the death of the upstream';
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/testing/src/__tests__/process/CactusdealTestingPromises.test.ts
@@ -0,0 +1,295 @@
+import assert from 'node:assert/strict';
+import { after, afterEach, before, beforeEach, describe, it } from 'node:test';
+import type { Plan } from '@cactusdeal/schema';
+import { createSeededRandom } from '@cactusdeal/shared';
+import {
+  acceptIntent,
+  type CallResult,
+  type Cluster,
+  confirmPlan,
+  createIdempotencyKey,
+  createLedger,
+  FaultDirection,
+  fetchSnapshot,
+  fetchStatus,
+  type Host,
+  isReady,
+  type Ledger,
+  sendAdmin,
+  sendIntent,
+  startVersionWatch,
+  type VersionWatch,
+  waitUntil,
+} from '../../index.js';
+import { writeBadVersion } from './CactusdealTestingMatrixBadVersion.js';
+import {
+  acceptWeights,
+  DATA_CENTRES,
+  MatrixPath,
+  settleCluster,
+  startMatrixCluster,
+  waitVersion,
+} from './CactusdealTestingMatrixCluster.js';
+
+const [FIRST, SECOND] = DATA_CENTRES;
+const SERVICE = 'orders';
+const IN_FLIGHT = 4;
+const random = createSeededRandom(9);
+
+let cluster: Cluster;
+let watch: VersionWatch;
+let ledger: Ledger;
+let count = 0;
+
+const cases: readonly { readonly name: string; readonly run: () => Promise<void> }[] = [
+  { name: 'of two operators who race over two daemons, one wins', run: runRace },
+  { name: 'no daemon goes back to an older version across restarts', run: runRestarts },
+  { name: 'a daemon that restarts without the platform learns from its peers', run: runColdStart },
+  { name: 'a data centre cut off from the platform catches up through another', run: runCatchUp },
+  { name: 'a data centre cut off from all goes on serving', run: runIsolated },
+  { name: 'a graceful stop of a daemon cuts off nothing', run: runGracefulStop },
+  { name: 'a draining upstream gets no new work and keeps its calls', run: runUpstreamDrain },
+  { name: 'crossed answers reach their own callers', run: runCrossed },
+  { name: 'an answer cut short never looks whole', run: runCutShort },
+  { name: 'a key sent at once to every daemon runs once', run: runResends },
+  {
+    name: 'a bad version is refused by name and the next one comes into force',
+    run: runBadVersion,
+  },
+];
+
+describe('promises of the brief', () => {
+  before(async () => {
+    cluster = await startMatrixCluster();
+  });
+  after(() => cluster.close());
+  beforeEach(() => {
+    watch = startVersionWatch(cluster.hosts);
+    ledger = createLedger();
+  });
+  afterEach(async () => {
+    await settleCluster(cluster);
+    await watch.close();
+  });
+  cases.forEach(({ name, run }) => {
+    it(name, async () => {
+      await run();
+      assert.deepEqual(watch.getBreaches(), []);
+      assert.deepEqual(await ledger.collectBreaches(cluster.hosts), []);
+    });
+  });
+});
+
+async function runRace(): Promise<void> {
+  const operators = [pickHost(FIRST, 0), pickHost(SECOND, 0)];
+  await waitVersion(operators, await acceptWeights(pickHost(SECOND, 1), SECOND));
+  const plans = await Promise.all(
+    operators.map((host, index) =>
+      sendIntent(
+        host,
+        { type: 'setWeights', service: SERVICE, weights: { [FIRST]: 2 + index } },
+        `operator-${index}`,
+      ),
+    ),
+  );
+  const ids = plans.map(({ body }) => (body as unknown as Plan).id);
+  const answers = await Promise.all(
+    operators.map((host, index) => confirmPlan(host, ids[index] ?? '', `operator-${index}`)),
+  );
+  assert.deepEqual(answers.map(({ status }) => status).sort(), [200, 409]);
+  assert.equal(answers.find(({ status }) => status === 409)?.body.kind, 'PlanStale');
+  const winner = answers.findIndex(({ status }) => status === 200);
+  await waitVersion(cluster.hosts, Number(answers[winner]?.body.version));
+  const snapshots = await Promise.all(cluster.hosts.map((host) => fetchSnapshot(host)));
+  snapshots.forEach(({ services }) =>
+    assert.equal(services[SERVICE]?.weights[FIRST], 2 + winner, 'the loser is in force'),
+  );
+  const again = await confirmPlan(operators[winner] as Host, ids[winner] ?? '', 'again');
+  assert.equal(again.body.version, answers[winner]?.body.version, 'confirmed twice');
+}
+
+async function runRestarts(): Promise<void> {
+  for (const host of cluster.listHosts(FIRST)) {
+    await host.getDaemon().kill();
+    const version = await acceptWeights(pickHost(SECOND, 0), SECOND);
+    await host.startDaemon();
+    await waitUntil(() => isReady(host), { what: `${host.id} ready` });
+    await waitVersion(cluster.hosts, version);
+  }
+}
+
+async function runColdStart(): Promise<void> {
+  const version = await acceptWeights(pickHost(SECOND, 0), SECOND);
+  await waitVersion(cluster.hosts, version);
+  await cluster.platform.setFault({ mode: 'down' });
+  const host = pickHost(FIRST, 1);
+  await host.getDaemon().kill();
+  await host.startDaemon();
+  const served = await waitUntil(() => findServed(host), { what: 'its first answer' });
+  assert.equal(served.status, 200);
+  assert.ok((await fetchStatus(host)).version >= version, 'served by an older version');
+}
+
+async function runCatchUp(): Promise<void> {
+  stopLinks(FIRST, 'platform');
+  const version = await acceptWeights(pickHost(SECOND, 0), SECOND);
+  await waitVersion(cluster.listHosts(FIRST), version);
+}
+
+async function runIsolated(): Promise<void> {
+  stopLinks(FIRST, 'platform');
+  stopLinks(FIRST, SECOND);
+  const results = await Promise.all(cluster.listHosts(FIRST).map((host) => sendRecord(host)));
+  results.forEach(({ status, error }) => assert.equal(status, 200, error));
+}
+
+async function runGracefulStop(): Promise<void> {
+  const host = pickHost(FIRST, 1);
+  const calls = await startHeldCalls(host);
+  host.getDaemon().signal('SIGTERM');
+  await waitUntil(() => isSeenAs(host, 'draining', host), { what: 'the stop known to the others' });
+  await setHolding(false);
+  const results = await Promise.all(calls);
+  results.forEach(({ status, error, refusal }) => assert.equal(status, 200, error ?? refusal));
+  const { code } = await host.getDaemon().waitExit();
+  assert.equal(code, 0);
+}
+
+async function runUpstreamDrain(): Promise<void> {
+  const host = pickHost(FIRST, 1);
+  const calls = await startHeldCalls(host);
+  await host.commandUpstream({ state: 'draining' });
+  await waitUntil(() => isSeenAs(host, 'draining'), { what: 'the drain known everywhere' });
+  const runsBefore = (await host.collectRuns()).length;
+  await setHolding(false);
+  await Promise.all(cluster.hosts.flatMap((other) => [sendRecord(other), sendRecord(other)]));
+  assert.equal((await host.collectRuns()).length, runsBefore, 'new work at a draining upstream');
+  const results = await Promise.all(calls);
+  results.forEach(({ status, error, refusal }) => assert.equal(status, 200, error ?? refusal));
+}
+
+async function runCrossed(): Promise<void> {
+  const calls = await startHeldCalls(pickHost(FIRST, 0));
+  const more = await startHeldCalls(pickHost(SECOND, 0));
+  await setHolding(false);
+  const results = await Promise.all([...calls, ...more]);
+  results.forEach(({ status }) => assert.equal(status, 200));
+}
+
+async function runCutShort(): Promise<void> {
+  const host = pickHost(FIRST, 0);
+  await setEvery({ isCuttingShort: true });
+  const { status, error, outcome } = await sendRecord(host);
+  assert.ok(error !== undefined || status !== 200, `a shortened answer as ${outcome}`);
+  await setEvery({ isCuttingShort: false });
+}
+
+async function runResends(): Promise<void> {
+  const idempotencyKey = createIdempotencyKey(Date.now(), random);
+  const results = await Promise.all(
+    [...cluster.hosts, ...cluster.hosts].map((host) =>
+      ledger.send(host, {
+        requestId: createId(),
+        ...{ method: 'POST', path: MatrixPath.Approvals, idempotencyKey },
+        body: Buffer.from(idempotencyKey),
+      }),
+    ),
+  );
+  const answered = results.filter(({ answer }) => answer !== undefined);
+  assert.equal(answered.length, 1, 'answers of the upstream');
+  results.forEach(({ outcome }) => assert.ok(outcome !== undefined, 'no clear outcome'));
+}
+
+async function runBadVersion(): Promise<void> {
+  const host = pickHost(SECOND, 0);
+  await waitVersion(cluster.hosts, await acceptWeights(host, SECOND));
+  const version = (await fetchStatus(host)).headVersion + 1;
+  assert.equal(await writeBadVersion(cluster, version), 200);
+  await waitUntil(() => isRejectedEverywhere(version), { what: 'the refusals' });
+  await waitUntil(() => isSurveyed(host, version), { what: 'the refusals in the survey' });
+  const next = await acceptIntent(host, {
+    type: 'setWeights',
+    service: SERVICE,
+    weights: { [SECOND]: 3 },
+  });
+  assert.ok(next > version);
+  await waitVersion(cluster.hosts, next);
+}
+
+function pickHost(dataCentre: string, index: number): Host {
+  return cluster.listHosts(dataCentre)[index] as Host;
+}
+
+function createId(): string {
+  count += 1;
+  return `promise-${count}`;
+}
+
+function sendRecord(host: Host): Promise<CallResult> {
+  return ledger.send(host, {
+    requestId: createId(),
+    ...{ method: 'GET', path: MatrixPath.Records, answerBytes: 50_000 },
+    signal: AbortSignal.timeout(5000),
+  });
+}
+
+async function findServed(host: Host): Promise<CallResult | undefined> {
+  const result = await sendRecord(host);
+  return result.status === undefined ? undefined : result;
+}
+
+function setEvery(change: Parameters<Host['commandUpstream']>[0]): Promise<unknown> {
+  return Promise.all(cluster.hosts.map((host) => host.commandUpstream(change)));
+}
+
+function setHolding(isHolding: boolean): Promise<unknown> {
+  return setEvery({ isHolding });
+}
+
+/** Starts calls through a daemon and waits until upstreams run them all and hold their answers. */
+async function startHeldCalls(host: Host): Promise<Promise<CallResult>[]> {
+  await setHolding(true);
+  const first = count + 1;
+  const calls = Array.from({ length: IN_FLIGHT }, () => sendRecord(host));
+  const ids = calls.map((_, index) => `promise-${first + index}`);
+  const ends: string[] = [];
+  calls.forEach((call) => call.then(({ refusal, error }) => ends.push(String(refusal ?? error))));
+  await waitUntil(() => isRunning(ids), { what: 'the calls run', explain: () => ends.join() });
+  return calls;
+}
+
+async function isRunning(ids: readonly string[]): Promise<boolean> {
+  const runs = (await Promise.all(cluster.hosts.map((host) => host.collectRuns()))).flat();
+  const seen = new Set(runs.map(({ requestId }) => requestId));
+  return ids.every((id) => seen.has(id));
+}
+
+function stopLinks(one: string, other: string): void {
+  cluster.listLinks(one, other).forEach((link) => link.cut(FaultDirection.Both));
+}
+
+/** Whether the others know the state of the host's worker; other data centres know ready ones only. */
+async function isSeenAs(host: Host, state: string, except?: Host): Promise<boolean> {
+  const asked = cluster.hosts.filter((other) => other !== except);
+  const statuses = await Promise.all(asked.map((other) => sendAdmin(other, 'GET', '/v1/status')));
+  return statuses.every(({ body }) => {
+    const members = body.members as { id: string; worker?: { state: string } }[];
+    const summaries = JSON.stringify(body.summaries);
+    const member = members.find(({ id }) => id === host.id);
+    if (member !== undefined) return member.worker?.state === state;
+    return !summaries.includes(JSON.stringify(host.worker?.name));
+  });
+}
+
+async function isRejectedEverywhere(version: number): Promise<boolean> {
+  const statuses = await Promise.all(cluster.hosts.map((host) => fetchStatus(host)));
+  return statuses.every(({ rejections }) => rejections.some((item) => item.version === version));
+}
+
+async function isSurveyed(host: Host, version: number): Promise<boolean> {
+  const { body } = await sendAdmin(host, 'GET', '/v1/status?scope=all');
+  const text = JSON.stringify(body);
+  return cluster
+    .listHosts(host.dataCentre)
+    .every(({ id }) => text.includes(`"memberId":"${id}","version":${version}`));
+}
