--- a/packages/mesh/src/__tests__/unit/CactusdealMeshLinks.test.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshLinks.test.ts
@@ -8,10 +8,12 @@
   createCountingState,
   type CountingState,
 } from '../../bench/CactusdealMeshBenchState.js';
+import { encodeFrame } from '../../CactusdealMeshFrame.js';
 import type { Mesh } from '../../CactusdealMeshTypes.js';
 import {
   closeMeshes,
   countAlive,
+  readAnswers,
   KEPT_ENTRIES,
   startMesh,
   waitUntil,
@@ -19,6 +21,17 @@
 
 const SIZE = 5;
 
+const LINK_HELLO = {
+  type: 'hello',
+  protocol: 1,
+  cluster: 'test',
+  dataCentre: 'north',
+  id: 'n1',
+  incarnation: 1,
+  meshAddress: '127.0.0.1:9',
+  purpose: 'link',
+};
+
 type State = CountingState;
 
 interface World {
@@ -140,6 +153,16 @@
       assert.equal(all.filter((mesh) => mesh.isReaderCandidate()).length, 4);
     }));
 
+  it('are refused by the others, which name the candidates', () =>
+    withWorld(async ({ east }) => {
+      const candidates = east.filter((mesh) => mesh.isReaderCandidate());
+      const other = east.find((mesh) => !candidates.includes(mesh)) as Mesh;
+      const [refusal] = await readAnswers(other.getSelf().meshAddress, encodeFrame(LINK_HELLO));
+      assert.deepEqual([refusal?.type, refusal?.kind], ['refusal', 'NotReader']);
+      const addresses = candidates.map((mesh) => mesh.getSelf().meshAddress);
+      assert.deepEqual([...(refusal?.contacts ?? [])].sort(), addresses.sort());
+    }));
+
   it('bring a data centre up that is cut off from the platform, also after a long time', () =>
     withWorld(async ({ east, states }) => {
       for (let version = 1; version <= 3; version += 1) {
