Visit members at random; dial nothing after the stop

Cause: visits took members in rounds made long before, so that a member that came since, and lost its neighbours, was not tried until the round ended; a stopped node's detector still dialled, heard that it was suspect and refuted, which brought killed members back. Conclusion: a random member each time; a stopped handshake refuses to dial.

--- a/packages/mesh/src/CactusdealMesh.ts
+++ b/packages/mesh/src/CactusdealMesh.ts
@@ -112,6 +112,7 @@
     else peer.connection.destroy();
   });
   parts.links.close();
+  if (!hasLeft) parts.handshake.destroyDialled();
   await listener.close();
   parts.members.changes.close();
   parts.notices.received.close();
--- a/packages/mesh/src/CactusdealMeshHandshake.ts
+++ b/packages/mesh/src/CactusdealMeshHandshake.ts
@@ -35,6 +35,8 @@
    * @throws FailureError with a MeshFailure, after the peer was told.
    */
   admit(socket: Socket): Promise<Introduced>;
+  /** Destroys every connection that this daemon dialled. */
+  destroyDialled(): void;
 }
 
 /** Who this daemon is, and how long it waits. */
@@ -43,11 +45,15 @@
   readonly getSelf: () => MemberRecord;
   readonly timeoutMs: number;
   readonly openSocket: OpenSocket;
+  /** Aborted when this daemon stops; nothing is dialled after that. */
+  readonly signal: AbortSignal;
   readonly counters: Readonly<Record<'local' | 'remote', TrafficCounters>>;
 }
 
 /** Creates the handshake of one daemon. */
 export function createHandshake(options: HandshakeOptions): Handshake {
+  const dialled = new Set<Socket>();
+
   function createHello(purpose: Purpose): HelloMessage {
     const { id, dataCentre, incarnation, meshAddress } = options.getSelf();
     const { cluster } = options;
@@ -62,7 +68,9 @@
   return {
     createHello,
     dial: async (address, purpose, dataCentre) => {
-      const socket = await options.openSocket(address, options.timeoutMs);
+      const socket = await openWhileRunning(options, address);
+      dialled.add(socket);
+      socket.once('close', () => dialled.delete(socket));
       const connection = createConnection(socket, selectCounters(purpose));
       connection.send(createHello(purpose));
       try {
@@ -86,9 +94,18 @@
         throw caught;
       }
     },
+    destroyDialled: () => dialled.forEach((socket) => socket.destroy()),
   };
 }
 
+async function openWhileRunning(options: HandshakeOptions, address: string): Promise<Socket> {
+  const { signal } = options;
+  const socket = signal.aborted ? undefined : await options.openSocket(address, options.timeoutMs);
+  if (socket !== undefined && !signal.aborted) return socket;
+  socket?.destroy();
+  throw new FailureError(createMeshFailure(MeshFailureKind.Unreachable, 'this daemon stops'));
+}
+
 /** Tells the peer why its connection is not kept, and closes it. */
 export function refuseConnection(connection: MeshConnection, failure: MeshFailure): void {
   const { kind, message, contacts = [] } = failure;
--- a/packages/mesh/src/CactusdealMeshParts.ts
+++ b/packages/mesh/src/CactusdealMeshParts.ts
@@ -135,6 +135,7 @@
     getSelf: members.getSelf,
     timeoutMs: getProbeTimeoutMs(options),
     openSocket: options.openSocket ?? openSocket,
+    signal,
     counters,
   });
   const router = createRouter<Peer>();
--- a/packages/mesh/src/CactusdealMeshVisits.ts
+++ b/packages/mesh/src/CactusdealMeshVisits.ts
@@ -13,7 +13,7 @@
   readonly probe: ProbeMember;
   /** Serves a connection that another member opened for a visit. */
   serve(introduced: Introduced): Promise<void>;
-  /** Visits one member after another until the signal aborts. */
+  /** Visits a random member after another until the signal aborts. */
   run(): Promise<void>;
 }
 
@@ -42,7 +42,6 @@
 export function createVisits(options: VisitOptions): Visits {
   const { handshake, members, exchange, random, signal } = options;
   const router = createVisitRouter(exchange);
-  let round: string[] = [];
 
   async function serveVisit({ connection, hello }: Introduced, isVisitor: boolean): Promise<void> {
     const host = { id: hello.id, send: connection.send };
@@ -75,19 +74,9 @@
     }
   }
 
-  /** Takes members in turn, each once a round in random order, as SWIM does. */
-  function pickNext(): string | undefined {
-    if (round.length === 0) {
-      const ids = members.listPresent().map((record) => record.id);
-      round = pickRandom(ids, ids.length, random);
-    }
-    return round.pop();
-  }
-
   async function probeNext(): Promise<void> {
-    const id = pickNext();
-    const record = id === undefined ? undefined : members.get(id);
-    if (record === undefined || isGone(record)) return;
+    const [record] = pickRandom(members.listPresent(), 1, random);
+    if (record === undefined) return;
     const result = await probe(record.meshAddress, record.id);
     if (result !== ProbeResult.Reached) options.onUnreachable(record.id);
   }
@@ -126,10 +115,13 @@
 }
 
 function toProbeResult(failure: MeshFailure): ProbeResult {
-  if (failure.kind !== MeshFailureKind.Unreachable) {
-    return failure.kind === MeshFailureKind.HandshakeTimeout
-      ? ProbeResult.Silent
-      : ProbeResult.Reached;
-  }
-  return failure.message.includes('ECONNREFUSED') ? ProbeResult.Refused : ProbeResult.Silent;
+  // A member of another protocol version is there all the same.
+  if (failure.kind === MeshFailureKind.ProtocolMismatch) return ProbeResult.Reached;
+  if (failure.kind === MeshFailureKind.HandshakeTimeout) return ProbeResult.Silent;
+  const isSilent = failure.kind === MeshFailureKind.Unreachable && !isRefused(failure);
+  return isSilent ? ProbeResult.Silent : ProbeResult.Refused;
+}
+
+function isRefused(failure: MeshFailure): boolean {
+  return failure.message.includes('ECONNREFUSED');
 }
--- a/packages/mesh/src/__tests__/unit/CactusdealMeshFailures.test.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFailures.test.ts
@@ -4,11 +4,14 @@
 import { FaultDirection, type FaultProxy, startFaultProxy } from '@cactusdeal/testing';
 import type { MeshNode } from '../../CactusdealMesh.js';
 import { openSocket, type OpenSocket } from '../../CactusdealMeshConnection.js';
+import { encodeFrame } from '../../CactusdealMeshFrame.js';
 import type { Mesh } from '../../CactusdealMeshTypes.js';
 import {
   closeMeshes,
   countAlive,
   countConnected,
+  createHello,
+  readAnswers,
   startMesh,
   startMeshes,
   startNode,
@@ -70,6 +73,10 @@
   return log;
 }
 
+function isHeldAs(mesh: Mesh, id: string, state: string): boolean {
+  return mesh.getMembers().some((record) => record.id === id && record.state === state);
+}
+
 /** Records every state in which any of the meshes holds another member. */
 function watchStates(meshes: readonly Mesh[]): Set<string> {
   const seen = new Set<string>();
@@ -174,6 +181,27 @@
     }
   });
 
+  it('finds a lost member to which nobody holds a connection', async () => {
+    const meshes = await startMeshes(5);
+    const [first] = meshes as [Mesh];
+    const ghost = { ...first.getSelf(), id: 'ghost', meshAddress: '127.0.0.1:1' };
+    const hello = { ...createHello('intruder'), purpose: 'join' };
+    const body = { kind: 'member', record: ghost };
+    const frames = [hello, { type: 'gossip', id: 'ghost', hops: 1, body }, { type: 'end' }];
+    try {
+      await waitUntil(() => meshes.every((mesh) => countAlive(mesh) === 5), 'all know all');
+      const seen = watchStates(meshes);
+      await readAnswers(first.getSelf().meshAddress, Buffer.concat(frames.map(encodeFrame)));
+      await waitUntil(() => seen.has('ghost alive'), 'it is believed');
+      await waitUntil(
+        () => meshes.every((mesh) => isHeldAs(mesh, 'ghost', 'dead')),
+        'it is found to be dead',
+      );
+    } finally {
+      await closeMeshes(meshes);
+    }
+  });
+
   it('lets an isolated member find back through the roster when settings lead nowhere', async () => {
     const meshes = await startMeshes(4);
     let asked = 0;
--- a/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
@@ -96,6 +96,22 @@
   return reached.size;
 }
 
+/** Creates the hello of a peer that is no mesh. */
+export function createHello(id: string, dataCentre = 'east') {
+  const meshAddress = '127.0.0.1:9';
+  const purpose = 'peer';
+  return {
+    type: 'hello',
+    protocol: 1,
+    cluster: 'test',
+    dataCentre,
+    id,
+    incarnation: 1,
+    meshAddress,
+    purpose,
+  };
+}
+
 /** A decoded frame that nobody checked. */
 export interface RawMessage {
   readonly type: string;
