--- a/packages/bench/src/CactusdealBenchCluster.ts
+++ b/packages/bench/src/CactusdealBenchCluster.ts
@@ -70,12 +70,15 @@
   return [{ type: 'setService', name: SERVICE, service }, ...routes];
 }
 
-/** The load of a day against the cluster, whose upstreams take the time that each call names. */
-export function buildClusterLoad(scenario: FloodScenario): LoadClass[] {
+/**
+ * The load of a day against the cluster, whose upstreams take the time that each call names. With a
+ * `scale` above 1 calls are that much longer and fewer, for the same work with less overhead.
+ */
+export function buildClusterLoad(scenario: FloodScenario, scale = 1): LoadClass[] {
   return buildLoadClasses(scenario, FLOOD_WORKERS * FLOOD_SLOTS).map((loadClass) => {
     const floodClass = FLOOD_CLASSES.find(({ name }) => name === loadClass.name);
-    const serviceMs = String(floodClass?.serviceMs ?? 0);
-    return { ...loadClass, headers: { [UpstreamHeader.ServiceMs]: serviceMs } };
+    const headers = { [UpstreamHeader.ServiceMs]: String((floodClass?.serviceMs ?? 0) * scale) };
+    return { ...loadClass, callsPerSecond: loadClass.callsPerSecond / scale, headers };
   });
 }
 
--- a/packages/bench/src/CactusdealBenchFloodMain.ts
+++ b/packages/bench/src/CactusdealBenchFloodMain.ts
@@ -1,6 +1,8 @@
+import { runClusterFlood } from './CactusdealBenchFloodCluster.js';
 import { type FloodReport, runFlood } from './CactusdealBenchFlood.js';
 
 const DURATION_MS = Number(process.env.BENCH_DURATION_MS ?? 6_000);
+const CLUSTER_DURATION_MS = Number(process.env.BENCH_CLUSTER_DURATION_MS ?? 10_000);
 const SEED = 20261204;
 
 function printReport(report: FloodReport): void {
@@ -18,4 +20,7 @@
 
 const reports = await runFlood(DURATION_MS, SEED);
 reports.forEach(printReport);
-process.stdout.write(`${JSON.stringify({ bench: 'flood', seed: SEED, reports })}\n`);
+const clusterReports = await runClusterFlood(CLUSTER_DURATION_MS, SEED);
+clusterReports.forEach((report) => process.stdout.write(`${JSON.stringify(report)}\n`));
+const result = { bench: 'flood', seed: SEED, inProcess: reports, processes: clusterReports };
+process.stdout.write(`${JSON.stringify(result)}\n`);
--- a/packages/traffic/src/CactusdealTrafficGateQueue.ts
+++ b/packages/traffic/src/CactusdealTrafficGateQueue.ts
@@ -100,7 +100,7 @@
     this.ledger.update(this.slots);
     account.recordArrival(call.request, call.arrivedAtMs);
     this.ledger.update(this.slots);
-    if (this.isUnmeetable(call) || this.isHopeless(call)) {
+    if (this.isUnmeetable(call, this.queued) || this.isHopeless(call)) {
       call.settle(buildRefused(account, RefusalKind.DeadlineUnmeetable, 'deadline is too near'));
       return;
     }
@@ -149,8 +149,11 @@
     return { queuedMs: startedAtMs - arrivedAtMs, release };
   }
 
-  private isUnmeetable({ account, request }: WaitingCall): boolean {
-    return this.clock() + account.estimateServiceMs(this.deviations) >= request.deadlineAtMs;
+  /** A free slot that no `others` wait for costs nothing: then only a passed deadline counts. */
+  private isUnmeetable({ account, request }: WaitingCall, others: number): boolean {
+    const isUncontended = this.inUse < this.slots && others === 0;
+    const serviceMs = isUncontended ? 0 : account.estimateServiceMs(this.deviations);
+    return this.clock() + serviceMs >= request.deadlineAtMs;
   }
 
   /** Whether the newcomer would be the last of its class and wait longer than its deadline leaves. */
@@ -166,7 +169,7 @@
   private shedUnmeetable(): void {
     for (const account of this.ledger.getAll()) {
       let call = account.peekEarliestDeadline();
-      while (call !== undefined && this.isUnmeetable(call)) {
+      while (call !== undefined && this.isUnmeetable(call, this.queued - 1)) {
         const text = 'deadline cannot be met any more';
         this.drop(call, buildRefused(account, RefusalKind.DeadlineUnmeetable, text));
         call = account.peekEarliestDeadline();
--- a/packages/traffic/src/CactusdealTrafficGateQueueAccount.ts
+++ b/packages/traffic/src/CactusdealTrafficGateQueueAccount.ts
@@ -19,6 +19,7 @@
 const PATIENCE_GAIN = 1 / 8;
 /** Least time constant of the average of slots in use. */
 const LEAST_AVERAGE_MS = 200;
+const MOST_SERVICE_PATIENCE = 1 / 2;
 const LEAST_USED_SLOTS = 1 / 16;
 
 /** What a gate knows of one class of calls. Times are in milliseconds by the gate's clock. */
@@ -165,12 +166,13 @@
   }
 
   /**
-   * Service time that a deadline has to leave, `deviations` above the mean. 0 with nothing in
-   * flight: then one call is let through, so that an outdated estimate is corrected.
+   * Service time that a deadline has to leave, `deviations` above the mean. At most half of what the
+   * class's calls allow: then every new call has a chance, and an outdated estimate is corrected.
    */
   public estimateServiceMs(deviations: number): number {
     if (this.heldSlots === 0) return 0;
-    return this.meanMs + deviations * this.deviationMs;
+    const estimateMs = this.meanMs + deviations * this.deviationMs;
+    return Math.min(estimateMs, this.patienceMs * MOST_SERVICE_PATIENCE);
   }
 
   /** Time until a slot for a call behind all that waits in this class. */
--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficGateQueue.test.ts
+++ b/packages/traffic/src/__tests__/unit/CactusdealTrafficGateQueue.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import type { Either } from 'purify-ts';
 import { createGateQueue, type AdmissionRequest, type Refusal, type Slot } from '../../index.js';
+import { runSimulation } from '../CactusdealTrafficSimulation.js';
 
 interface Arrival {
   readonly name: string;
@@ -108,3 +109,45 @@
     });
   });
 });
+
+const slow = {
+  className: 'records',
+  rank: 'normal',
+  share: 0,
+  worth: 1,
+  atMs: 0,
+  serviceMs: 2_000,
+} as const;
+
+const estimates = [
+  {
+    name: 'runs a call on a free slot that nobody waits for, however slow its class was',
+    slots: 2,
+    calls: [
+      { ...slow, patienceMs: 5_000 },
+      { ...slow, patienceMs: 5_000, atMs: 3_000, serviceMs: 1_000 },
+      { ...slow, patienceMs: 500, atMs: 3_100, serviceMs: 10 },
+    ],
+  },
+  {
+    name: 'gives a call half of its time a chance, however slow its class was',
+    slots: 1,
+    calls: [
+      { ...slow, patienceMs: 400 },
+      { ...slow, patienceMs: 400, atMs: 2_100, serviceMs: 100 },
+      { ...slow, patienceMs: 400, atMs: 2_150, serviceMs: 10 },
+    ],
+  },
+];
+
+describe('gate queue, after a slow spell', () => {
+  estimates.forEach(({ name, slots, calls }) => {
+    it(name, async () => {
+      const { outcomes } = await runSimulation({ slots, queueLimit: 5, calls });
+      assert.deepEqual(
+        outcomes.map(({ settlements }) => settlements.join()),
+        ['ran', 'ran', 'ran'],
+      );
+    });
+  });
+});
