Keep an outcome unknown once any attempt may have run; say not ready from the start of a stop

Cause: an idempotent call that ran at a gate whose upstream died was sent on, and the second gate's refusal as not run reached the caller; /readyz stayed 200 during a graceful stop. Ruled out: no retry after an unknown outcome (idempotent work may be repeated, and mostly succeeds). Conclusion: a later refusal does not undo an earlier attempt.

--- a/packages/daemon/src/CactusdealDaemonWiring.ts
+++ b/packages/daemon/src/CactusdealDaemonWiring.ts
@@ -44,7 +44,10 @@
   const stop = new AbortController();
   let listener: CallListener | undefined;
   const roles = startRoles(parts);
-  const progress = { isReady: () => listener !== undefined, isReading: roles.isReading };
+  const progress = {
+    isReady: () => listener !== undefined && !stop.signal.aborted,
+    isReading: roles.isReading,
+  };
   const admin = await startHttpListener(
     settings.listen.admin,
     listAdminRoutes(buildAdminParts(parts, progress)),
--- a/packages/traffic/src/CactusdealTrafficEntry.ts
+++ b/packages/traffic/src/CactusdealTrafficEntry.ts
@@ -73,14 +73,22 @@
     tried.add(choice.gate.memberId);
     const end = await tryGate(parts, { ...call, budget }, choice);
     if (end.type !== 'refused') return end;
-    last = end.refusal;
+    last = mergeOutcome(last, end.refusal);
     if (last.kind === RefusalKind.ConnectionSilent) tried.delete(choice.gate.memberId);
-    if (!shouldRetry(call, last) || !parts.budget.spend(service)) return end;
+    const mayRetry = shouldRetry(call, last) && parts.budget.spend(service);
+    if (!mayRetry) return { type: 'refused', refusal: last };
     parts.metrics.recordRetry(last.kind);
     budget = 0;
   }
 }
 
+/** A later refusal does not undo an earlier attempt that may have run. */
+function mergeOutcome(earlier: Refusal | undefined, refusal: Refusal): Refusal {
+  const mayHaveRun = earlier?.outcome === CallOutcome.Unknown;
+  const isNotRun = refusal.outcome === CallOutcome.NotRun;
+  return mayHaveRun && isNotRun ? { ...refusal, outcome: CallOutcome.Unknown } : refusal;
+}
+
 const refuseNoUpstream = (service: string): Refusal =>
   createNotRun(
     RefusalKind.NoUpstream,
