--- a/packages/configuration/src/CactusdealConfigurationHolder.ts
+++ b/packages/configuration/src/CactusdealConfigurationHolder.ts
@@ -10,7 +10,7 @@
   type ConfigurationHolder,
   type Rejection,
 } from './CactusdealConfigurationTypes.js';
-import { validateSnapshot } from './CactusdealConfigurationValidation.js';
+import { findAffectedServices, validateSnapshot } from './CactusdealConfigurationValidation.js';
 
 const MAX_REJECTIONS = 32;
 const MAX_FAULTS_NAMED = 5;
@@ -100,7 +100,7 @@
   }
   hashSnapshot(base);
   return applyOperations(base, entry.operations, entry.version)
-    .chain(refuseFaults)
+    .chain((result) => refuseFaults(result, findAffectedServices(entry.operations)))
     .chain((result) => refuseOtherHash(result, entry.hash));
 }
 
@@ -118,8 +118,11 @@
   return refuseFaults(next).chain((result) => refuseOtherHash(result, hash));
 }
 
-function refuseFaults(result: Snapshot): Either<ApplyFailure, Snapshot> {
-  const faults = validateSnapshot(result);
+function refuseFaults(
+  result: Snapshot,
+  scope?: ReadonlySet<string>,
+): Either<ApplyFailure, Snapshot> {
+  const faults = validateSnapshot(result, scope);
   if (faults.length === 0) return Right(result);
   const named = faults
     .slice(0, MAX_FAULTS_NAMED)
--- a/packages/configuration/src/CactusdealConfigurationValidation.ts
+++ b/packages/configuration/src/CactusdealConfigurationValidation.ts
@@ -1,4 +1,4 @@
-import type { Route, Snapshot } from '@cactusdeal/schema';
+import type { Operation, Route, Snapshot } from '@cactusdeal/schema';
 import type { Failure } from '@cactusdeal/shared';
 import { getOwn } from './CactusdealConfigurationSnapshot.js';
 
@@ -23,41 +23,72 @@
 /** A plain object answers for this name although nobody set it. */
 const RESERVED_NAMES: readonly string[] = ['constructor'];
 
-/** Lists every rule that the snapshot breaks; empty when it may come into force. */
-export function validateSnapshot(snapshot: Snapshot): ConfigurationFault[] {
+/** Names of services, or undefined for all of them. */
+type Scope = ReadonlySet<string> | undefined;
+
+type NamedRoute = readonly [name: string, route: Route];
+
+/**
+ * Lists every rule that the snapshot breaks; empty when it may come into force. Each rule concerns
+ * one service, so after operations on a snapshot without faults it is enough to check the services
+ * that `findAffectedServices` names.
+ */
+export function validateSnapshot(snapshot: Snapshot, scope?: Scope): ConfigurationFault[] {
+  const routes = listRoutes(snapshot, scope);
   return [
-    ...findAbsentServices(snapshot),
-    ...findAmbiguousRoutes(snapshot),
-    ...findShareSums(snapshot),
+    ...findRoutesToNothing(snapshot, routes),
+    ...findDrainsOfNothing(snapshot, scope),
+    ...findAmbiguousRoutes(routes),
+    ...findShareSums(routes),
     ...findReservedNames(snapshot),
   ];
 }
 
-function findAbsentServices(snapshot: Snapshot): ConfigurationFault[] {
-  const faults: ConfigurationFault[] = [];
-  for (const name of Object.keys(snapshot.routes)) {
-    const { service } = snapshot.routes[name] as Route;
-    if (getOwn(snapshot.services, service) === undefined) {
-      faults.push(
-        buildFault(FaultKind.RouteToAbsentService, `route ${name}`, `no service ${service}`),
-      );
-    }
-  }
-  for (const [name, { service }] of Object.entries(snapshot.drains)) {
-    if (getOwn(snapshot.services, service) === undefined) {
-      faults.push(
-        buildFault(FaultKind.DrainOfAbsentService, `drain ${name}`, `no service ${service}`),
-      );
-    }
+/** Names the services about which the operations can break a rule. */
+export function findAffectedServices(operations: readonly Operation[]): ReadonlySet<string> {
+  const names = operations.flatMap((operation) => {
+    if (operation.type === 'removeService') return [operation.name];
+    if (operation.type === 'setRoute') return [operation.route.service];
+    if (operation.type === 'setDrain') return [operation.drain.service];
+    return [];
+  });
+  return new Set(names);
+}
+
+function listRoutes({ routes }: Snapshot, scope: Scope): readonly NamedRoute[] {
+  if (scope?.size === 0) return [];
+  const found: NamedRoute[] = [];
+  for (const name of Object.keys(routes)) {
+    const route = routes[name] as Route;
+    if (scope === undefined || scope.has(route.service)) found.push([name, route]);
   }
-  return faults;
+  return found;
+}
+
+function findRoutesToNothing(
+  { services }: Snapshot,
+  routes: readonly NamedRoute[],
+): ConfigurationFault[] {
+  return routes
+    .filter(([, { service }]) => getOwn(services, service) === undefined)
+    .map(([name, { service }]) =>
+      buildFault(FaultKind.RouteToAbsentService, `route ${name}`, `no service ${service}`),
+    );
+}
+
+function findDrainsOfNothing({ services, drains }: Snapshot, scope: Scope): ConfigurationFault[] {
+  return Object.entries(drains)
+    .filter(([, { service }]) => scope === undefined || scope.has(service))
+    .filter(([, { service }]) => getOwn(services, service) === undefined)
+    .map(([name, { service }]) =>
+      buildFault(FaultKind.DrainOfAbsentService, `drain ${name}`, `no service ${service}`),
+    );
 }
 
-function findAmbiguousRoutes(snapshot: Snapshot): ConfigurationFault[] {
+function findAmbiguousRoutes(routes: readonly NamedRoute[]): ConfigurationFault[] {
   const faults: ConfigurationFault[] = [];
   const firstNames = new Map<string, string>();
-  for (const name of Object.keys(snapshot.routes)) {
-    const route = snapshot.routes[name] as Route;
+  for (const [name, route] of routes) {
     const matched = `${route.service} ${route.method} ${route.pathPrefix}`;
     const first = firstNames.get(matched);
     if (first === undefined) firstNames.set(matched, name);
@@ -70,10 +101,9 @@
 }
 
 /** Routes of one class hold one share together, the largest of theirs. */
-function findShareSums(snapshot: Snapshot): ConfigurationFault[] {
+function findShareSums(routes: readonly NamedRoute[]): ConfigurationFault[] {
   const shares = new Map<string, Map<string, number>>();
-  for (const name of Object.keys(snapshot.routes)) {
-    const route = snapshot.routes[name] as Route;
+  for (const [, route] of routes) {
     const classes = shares.get(route.service) ?? new Map<string, number>();
     shares.set(route.service, classes);
     classes.set(route.class, Math.max(classes.get(route.class) ?? 0, route.share));
--- a/packages/configuration/src/__tests__/unit/CactusdealConfigurationValidation.test.ts
+++ b/packages/configuration/src/__tests__/unit/CactusdealConfigurationValidation.test.ts
@@ -1,8 +1,15 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { Snapshot } from '@cactusdeal/schema';
-import { FaultKind, validateSnapshot } from '../../index.js';
-import { buildRoute, buildService } from '../CactusdealConfigurationSamples.js';
+import type { Operation, Snapshot } from '@cactusdeal/schema';
+import fc from 'fast-check';
+import {
+  applyOperations,
+  createEmptySnapshot,
+  FaultKind,
+  findAffectedServices,
+  validateSnapshot,
+} from '../../index.js';
+import { buildRoute, buildService, operationArbitrary } from '../CactusdealConfigurationSamples.js';
 
 interface ValidationCase {
   readonly name: string;
@@ -85,6 +92,29 @@
   });
 });
 
+describe('validation of what operations affect', () => {
+  it('finds what a check of the whole finds, on a base without faults', () => {
+    fc.assert(
+      fc.property(fc.array(operationArbitrary), fc.array(operationArbitrary), (early, late) => {
+        const base = applyGood(early);
+        applyOperations(base, late).ifRight((result) => {
+          const scope = findAffectedServices(late);
+          assert.deepEqual(validateSnapshot(result, scope), validateSnapshot(result));
+        });
+      }),
+      { seed: 20261204, numRuns: 1000 },
+    );
+  });
+});
+
+/** Applies each operation whose result breaks no rule. */
+function applyGood(operations: readonly Operation[]): Snapshot {
+  return operations.reduce((snapshot, operation) => {
+    const next = applyOperations(snapshot, [operation]).orDefault(snapshot);
+    return validateSnapshot(next).length === 0 ? next : snapshot;
+  }, createEmptySnapshot());
+}
+
 function buildBase(): Snapshot {
   return {
     version: 1,
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -15,5 +15,6 @@
 export {
   type ConfigurationFault,
   FaultKind,
+  findAffectedServices,
   validateSnapshot,
 } from './CactusdealConfigurationValidation.js';
--- a/packages/operator/src/CactusdealOperatorShards.ts
+++ b/packages/operator/src/CactusdealOperatorShards.ts
@@ -16,7 +16,7 @@
 }
 
 /** Mean size of a shard's JSON; compressed, the largest stays far below the platform's limit. */
-const SHARD_TEXT_BYTES = 512 * 1024;
+const SHARD_TEXT_BYTES = 1536 * 1024;
 /** Bound on what a shard may unpack to, so that a wrong value cannot exhaust memory. */
 const MAX_TEXT_BYTES = 16 * 1024 * 1024;
 
