Let a caller read why its large request was refused

Cause: an early refusal closed the connection while the caller was still sending, and the reset that follows can overtake the refusal, so that a call known not to have run looked unknown. Ruled out: closing after a pause, which is a guess at the caller's pace. Before and after: with the connection closed as before, the new case fails (three refused uploads of 30 MB on one connection); with the rest of the body read on and dropped it passes. Conclusion: only a body above its route's limit still closes the connection.

--- a/packages/traffic/src/CactusdealTrafficResponse.ts
+++ b/packages/traffic/src/CactusdealTrafficResponse.ts
@@ -2,7 +2,7 @@
 import type { AnswerSink } from './CactusdealTrafficAttempt.js';
 import { CallHeader, selectEndToEnd } from './CactusdealTrafficHeaders.js';
 import { toRetryAfterSeconds } from './CactusdealTrafficRefusal.js';
-import { CallOutcome, type Refusal } from './CactusdealTrafficTypes.js';
+import { CallOutcome, type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
 
 /** Creates a sink that passes an answer on to a caller's connection. */
 export function createResponseSink(response: ServerResponse): AnswerSink {
@@ -34,6 +34,19 @@
   if (retryAfterMs !== undefined) {
     response.setHeader('retry-after', toRetryAfterSeconds(retryAfterMs));
   }
-  if (!response.req.complete) response.setHeader('connection', 'close');
+  if (!response.req.complete) discardRest(response, kind);
   response.end(body);
 }
+
+/**
+ * Reads on what the caller still sends, as closing under it would reset the connection before the
+ * refusal is read. A body that is too large is not read on.
+ */
+function discardRest(response: ServerResponse, kind: RefusalKind): void {
+  if (kind === RefusalKind.BodyTooLarge) {
+    response.setHeader('connection', 'close');
+    return;
+  }
+  response.req.unpipe();
+  response.req.resume();
+}
--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficStreaming.test.ts
+++ b/packages/traffic/src/__tests__/unit/CactusdealTrafficStreaming.test.ts
@@ -1,5 +1,10 @@
 import assert from 'node:assert/strict';
-import { type IncomingMessage, request as sendRequest, type RequestListener } from 'node:http';
+import {
+  Agent,
+  type IncomingMessage,
+  request as sendRequest,
+  type RequestListener,
+} from 'node:http';
 import { afterEach, describe, it } from 'node:test';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
@@ -134,6 +139,27 @@
     assert.equal(received, BODY_BYTES);
   });
 
+  it('a large request that is refused early still learns why', async () => {
+    const { entry, gate, upstream } = await startPath((_request, response) => response.end('ok'));
+    Object.assign(gate.worker ?? {}, { state: 'draining' });
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    for (let round = 0; round < 3; round += 1) {
+      const answer = await new Promise<IncomingMessage>((resolve, reject) => {
+        const request = sendRequest(`http://${entry.listener.address}/records/1`, {
+          agent,
+          method: 'POST',
+          headers: { 'content-length': BODY_BYTES },
+        });
+        request.on('response', resolve).on('error', reject);
+        void writeBody(request, () => {});
+      });
+      assert.equal(answer.resume().headers['cactusdeal-outcome'], 'not-run');
+      assert.equal(answer.headers['cactusdeal-refusal'], 'Draining');
+    }
+    agent.destroy();
+    assert.deepEqual(upstream.seen, []);
+  });
+
   it('an unannounced length above the limit is refused as unknown once a part was sent', async () => {
     let sendRest: (() => void) | undefined;
     let whole = false;
