--- a/packages/mesh/src/CactusdealMesh.ts
+++ b/packages/mesh/src/CactusdealMesh.ts
@@ -9,8 +9,8 @@
 import { acceptSocket, startTasks } from './CactusdealMeshTasks.js';
 import type { Mesh, SurveyResult } from './CactusdealMeshTypes.js';
 
-/** Time that a departing daemon gives its last messages, in milliseconds. */
-const LEAVE_MS = 50;
+/** Time that a departing daemon stays reachable while its last record spreads. */
+const LEAVE_MS = 250;
 const SURVEY_ID_BYTES = 9;
 
 /** A mesh that can also end as a killed process does. */
