Watch the platform for short turns, so that a silent connection delays a change by seconds only

Cause: a watch that a silent platform had taken was waited out for 25 s and the timeout, on both readers, so an accepted change was in force nowhere for that time (fault matrix, 'announce: the platform is silent'). Ruled out: a get beside each watch (as many calls, and the watch idle). Before: not within 25 s.

--- a/packages/daemon/src/CactusdealDaemonRoles.ts
+++ b/packages/daemon/src/CactusdealDaemonRoles.ts
@@ -19,6 +19,8 @@
   close(): Promise<void>;
 }
 
+/** Short, since a watch on a connection that went silent delays every change by this time. */
+const WATCH_MS = 1_500;
 const ROSTER_LEASE_MS = 30_000;
 const CHECKPOINT_INTERVAL_MS = 20_000;
 
@@ -78,6 +80,7 @@
     platform,
     signal,
     log,
+    watchMs: WATCH_MS,
     target: {
       getHeadVersion: () => holder.getHeadVersion(),
       getSnapshot: () => holder.getSnapshot(),
