Free an abandoned key before its call is tried elsewhere; follow one unknown attempt at most

Ruled out: a retry at the same gate only (it may be draining); waiting for the notices (no bound). Conclusion: the wait is bounded by 250 ms, so that a platform that is out does not hold the slot.

--- a/packages/bench/src/CactusdealBenchClaimsVariants.ts
+++ b/packages/bench/src/CactusdealBenchClaimsVariants.ts
@@ -83,7 +83,7 @@
         const complete = (status: number): void => {
           void append(key, status, attempt);
         };
-        return { complete, abandon: () => {} };
+        return { complete, abandon: async () => {} };
       },
       close: () => Promise.resolve(),
     };
--- a/packages/traffic/src/CactusdealTrafficClaims.ts
+++ b/packages/traffic/src/CactusdealTrafficClaims.ts
@@ -51,6 +51,7 @@
 /** Time without an answer of the platform after which it is taken to fail. */
 const PATIENCE_MS = 250;
 /** While the platform fails, one claim in this time is let through to try it. */
+const RELEASE_MS = 250;
 const PROBE_MS = 250;
 
 /**
@@ -147,13 +148,25 @@
 
   private createTicket({ hash, platformKey }: ClaimPlace, attempt: string): ClaimTicket {
     let isUsed = false;
-    const change = (status: number | undefined): void => {
-      if (isUsed) return;
-      isUsed = true;
+    const change = (status: number | undefined, settle: () => void): void => {
       // Without room a key stays claimed without an outcome, which resends read as unknown.
-      if (this.countWork() < MAX_WORK) this.getPage(platformKey).change({ hash, attempt, status });
+      const isTaken = !isUsed && this.countWork() < MAX_WORK;
+      isUsed = true;
+      if (isTaken) this.getPage(platformKey).change({ hash, attempt, status, settle });
+      settle();
+    };
+    return {
+      complete: (status) => change(status, () => {}),
+      abandon: () => this.waitForRelease((settle) => change(undefined, settle)),
     };
-    return { complete: (status) => change(status), abandon: () => change(undefined) };
+  }
+
+  /** Waits a little for the key to be free, so that another gate can claim it for the same call. */
+  private async waitForRelease(release: (settle: () => void) => void): Promise<void> {
+    const { pause = waitMs } = this.options;
+    const settled = new AbortController();
+    release(() => settled.abort());
+    await pause(RELEASE_MS, settled.signal);
   }
 
   private getPage(platformKey: string): ClaimPage {
--- a/packages/traffic/src/CactusdealTrafficClaimsPage.ts
+++ b/packages/traffic/src/CactusdealTrafficClaimsPage.ts
@@ -36,6 +36,8 @@
   readonly hash: string;
   readonly attempt: string;
   readonly status: number | undefined;
+  /** Called once the change is written, or will never be. */
+  readonly settle?: () => void;
 }
 
 /** What a page works with. */
@@ -111,6 +113,10 @@
   }
 
   public change(change: ClaimChange): void {
+    if (this.isStopped) {
+      change.settle?.();
+      return;
+    }
     this.changes.set(change.attempt, change);
     this.start();
   }
@@ -229,7 +235,7 @@
   private failAll(): void {
     this.claims.forEach(({ claim }) => claim.fail());
     this.claims.clear();
-    this.changes.clear();
+    this.changes.forEach((change) => this.dropChange(change));
     this.show(new Map(), undefined);
   }
 
@@ -277,15 +283,21 @@
 
   private dropForeignChanges(): void {
     if (this.revision === undefined) return;
-    this.changes.forEach(({ hash }, attempt) => {
-      if (this.entries.get(hash)?.attempt !== attempt) this.changes.delete(attempt);
+    this.changes.forEach((change) => {
+      const holder = this.entries.get(change.hash)?.attempt;
+      if (holder !== change.attempt) this.dropChange(change);
     });
   }
 
   private dropChanges(changes: readonly ClaimChange[]): void {
     changes
       .filter((change) => this.changes.get(change.attempt) === change)
-      .forEach((change) => this.changes.delete(change.attempt));
+      .forEach((change) => this.dropChange(change));
+  }
+
+  private dropChange(change: ClaimChange): void {
+    this.changes.delete(change.attempt);
+    change.settle?.();
   }
 
   private buildNext(changes: readonly ClaimChange[]): ClaimEntries {
--- a/packages/traffic/src/CactusdealTrafficEntry.ts
+++ b/packages/traffic/src/CactusdealTrafficEntry.ts
@@ -42,6 +42,8 @@
 }
 
 const NO_UPSTREAM_RETRY_MS = 1000;
+/** Attempts of one call that may end unknown and still be followed by another. */
+const MAX_UNKNOWNS = 1;
 const MIN_STALL_MS = 500;
 const STALL_FACTOR = 10;
 
@@ -64,6 +66,7 @@
   const tried = new Set<string>();
   let budget = travelling;
   let last: Refusal | undefined;
+  let unknowns = 0;
   for (;;) {
     const expired = refuseExpired(call, parts.clock());
     if (expired !== undefined) return { type: 'refused', refusal: last ?? expired };
@@ -74,8 +77,9 @@
     const end = await tryGate(parts, { ...call, budget }, choice);
     if (end.type !== 'refused') return end;
     last = mergeOutcome(last, end.refusal);
+    if (end.refusal.outcome === CallOutcome.Unknown) unknowns += 1;
     if (last.kind === RefusalKind.ConnectionSilent) tried.delete(choice.gate.memberId);
-    const mayRetry = shouldRetry(call, last) && parts.budget.spend(service);
+    const mayRetry = shouldRetry(call, last, unknowns) && parts.budget.spend(service);
     if (!mayRetry) return { type: 'refused', refusal: last };
     parts.metrics.recordRetry(last.kind);
     budget = 0;
@@ -97,7 +101,8 @@
   );
 
 /** Whether another attempt may follow a refusal, leaving the budget aside. */
-function shouldRetry(call: Call, refusal: Refusal): boolean {
+function shouldRetry(call: Call, refusal: Refusal, unknowns: number): boolean {
+  if (unknowns > MAX_UNKNOWNS) return false;
   if (FINAL_KINDS.has(refusal.kind) || call.life.signal.aborted || !call.body.canTake()) {
     return false;
   }
--- a/packages/traffic/src/CactusdealTrafficGate.ts
+++ b/packages/traffic/src/CactusdealTrafficGate.ts
@@ -68,7 +68,7 @@
   if (ticket !== undefined && 'kind' in ticket) return { type: 'refused', refusal: ticket };
   const late = checkWorker(parts, call, workerName) ?? refuseExpired(call, parts.clock());
   if (late !== undefined) {
-    ticket?.abandon();
+    await ticket?.abandon();
     return { type: 'refused', refusal: late };
   }
   const worker = parts.getLocalWorker() as LocalWorker;
@@ -124,7 +124,7 @@
   result: Exclude<AttemptResult, { type: 'answered' }>,
 ): Promise<CallEnd> {
   if (result.type === 'refused') return result;
-  if (!result.sent) ticket?.abandon();
+  if (!result.sent) await ticket?.abandon();
   const wanted = !call.life.signal.aborted && !isBodyTooLarge(result.cause);
   if (result.sent && wanted && !(await probeAddress(worker.address))) {
     parts.quarantine.recordCrash(fingerprint);
--- a/packages/traffic/src/CactusdealTrafficPolicyTypes.ts
+++ b/packages/traffic/src/CactusdealTrafficPolicyTypes.ts
@@ -33,8 +33,11 @@
 export interface ClaimTicket {
   /** Records that the upstream answered, lazily; never fails the call. */
   complete(status: number): void;
-  /** Gives the key back; only where no byte can have reached the upstream's code. */
-  abandon(): void;
+  /**
+   * Gives the key back; only where no byte can have reached the upstream's code. Resolves once the
+   * key is free, or after a bounded time.
+   */
+  abandon(): Promise<void>;
 }
 
 /** Claims idempotency keys in the platform before an atMostOnce call is sent. */
--- a/packages/traffic/src/__tests__/CactusdealTrafficFixtures.ts
+++ b/packages/traffic/src/__tests__/CactusdealTrafficFixtures.ts
@@ -101,7 +101,7 @@
       return Promise.resolve(
         Right({
           complete: (status) => events.push(`complete ${key} ${status}`),
-          abandon: () => {
+          abandon: async () => {
             held.delete(key);
             events.push(`abandon ${key}`);
           },
--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficClaims.test.ts
+++ b/packages/traffic/src/__tests__/unit/CactusdealTrafficClaims.test.ts
@@ -59,6 +59,26 @@
     });
   });
 
+  it('has freed an abandoned key once abandoning resolves, for another holder too', async () => {
+    const platform = createMemoryPlatform();
+    const slow: Platform = {
+      ...platform,
+      compareAndSwap: async (...write) => {
+        for (let turn = 0; turn < 5; turn += 1) await new Promise(setImmediate);
+        return platform.compareAndSwap(...write);
+      },
+    };
+    const first = createTestClaims(slow);
+    const second = createTestClaims(platform);
+    const key = buildIdempotencyKey(NOW_MS, random);
+    const { signal } = new AbortController();
+    const wanted = { service: 'orders', key, deadlineAtMs: NOW_MS + 500, signal };
+    const ticket = (await first.claim(wanted)).unsafeCoerce();
+    await ticket.abandon();
+    assert.equal(await claimKey(second, key), 'claimed');
+    await Promise.all([first.close(), second.close()]);
+  });
+
   it('refuses a passed deadline without asking the platform', async () => {
     const claims = createTestClaims({} as Platform);
     const key = buildIdempotencyKey(NOW_MS, random);
