--- a/packages/traffic/src/CactusdealTrafficClaims.ts
+++ b/packages/traffic/src/CactusdealTrafficClaims.ts
@@ -153,7 +153,7 @@
       const isTaken = !isUsed && this.countWork() < MAX_WORK;
       isUsed = true;
       if (isTaken) this.getPage(platformKey).change({ hash, attempt, status, settle });
-      settle();
+      else settle();
     };
     return {
       complete: (status) => change(status, () => {}),
