Refuse connections that reach a fault proxy while it closes

Cause: a run of the process tests did not end within 50 s once; a connection accepted after the reset of all others would keep the listener open. Conclusion: to be watched.

--- a/packages/testing/src/CactusdealTestingFaultProxy.ts
+++ b/packages/testing/src/CactusdealTestingFaultProxy.ts
@@ -90,7 +90,7 @@
 
 function acceptConnection(state: ProxyState, near: net.Socket, server: net.Server): void {
   Object.assign(state, { accepted: state.accepted + 1 });
-  if (state.isCut) {
+  if (state.isCut || !server.listening) {
     near.resetAndDestroy();
     return;
   }
