Give the failures of stored values a type

Cause: parsers of the operator's package answered bare strings as failures. Measured: the operator's tests pass as before; the messages that reach an operator are the same.

--- a/packages/operator/src/CactusdealOperatorCodec.ts
+++ b/packages/operator/src/CactusdealOperatorCodec.ts
@@ -1,8 +1,12 @@
 import { createValidator, type LogEntry, type Plan } from '@cactusdeal/schema';
+import { type Failure, formatCaught } from '@cactusdeal/shared';
 import { type Either, Left, Right } from 'purify-ts';
 
-/** Turns bytes into a value, or says in one line why they are none. */
-export type Parser<T> = (bytes: Uint8Array) => Either<string, T>;
+/** Why stored bytes are not what their key promises. */
+export type ParseFailure = Failure<'ValueMalformed' | 'ValueMismatch'>;
+
+/** Turns bytes into a value. */
+export type Parser<T> = (bytes: Uint8Array) => Either<ParseFailure, T>;
 
 const MAX_REASON_LENGTH = 300;
 const NO_HASH = '0'.repeat(64);
@@ -21,15 +25,17 @@
 export function createParser<T>(reference: string): Parser<T> {
   const check = createValidator<T>(reference);
   return (bytes) =>
-    parseJson(bytes).chain((value) => check(value).mapLeft((failure) => failure.message));
+    parseJson(bytes).chain((value) =>
+      check(value).mapLeft(({ message }) => ({ kind: 'ValueMalformed', message })),
+    );
 }
 
 /** Parses JSON bytes of any shape. */
-export function parseJson(bytes: Uint8Array): Either<string, unknown> {
+export function parseJson(bytes: Uint8Array): Either<ParseFailure, unknown> {
   try {
     return Right(JSON.parse(new TextDecoder('utf-8', { fatal: true }).decode(bytes)));
   } catch (caught) {
-    return Left(`no JSON: ${(caught as Error).message}`);
+    return Left({ kind: 'ValueMalformed', message: `no JSON: ${formatCaught(caught)}` });
   }
 }
 
@@ -40,14 +46,17 @@
 export function readLogValue(version: number, bytes: Uint8Array): LogEntry {
   return parseEntry(bytes)
     .chain((entry) =>
-      entry.version === version
-        ? Right(entry)
-        : Left(`it states version ${entry.version}, its key ${version}`),
+      entry.version === version ? Right(entry) : refuseVersion(entry.version, version),
     )
-    .mapLeft((reason) => buildUnreadable(version, reason))
+    .mapLeft(({ message }) => buildUnreadable(version, message))
     .extract();
 }
 
+function refuseVersion(stated: number, key: number): Either<ParseFailure, never> {
+  const message = `it states version ${stated}, its key ${key}`;
+  return Left({ kind: 'ValueMismatch', message });
+}
+
 function buildUnreadable(version: number, reason: string): LogEntry {
   return {
     version,
--- a/packages/operator/src/CactusdealOperatorConfirm.ts
+++ b/packages/operator/src/CactusdealOperatorConfirm.ts
@@ -8,7 +8,12 @@
 import { type Clock, type Failure, getWallTimeMs, type Random } from '@cactusdeal/shared';
 import { type Either, Left, Right } from 'purify-ts';
 import { createBackoff } from './CactusdealOperatorBackoff.js';
-import { encodeValue, parsePlan, readLogValue } from './CactusdealOperatorCodec.js';
+import {
+  encodeValue,
+  type ParseFailure,
+  parsePlan,
+  readLogValue,
+} from './CactusdealOperatorCodec.js';
 import { getLogKey, getPlanKey } from './CactusdealOperatorKeys.js';
 import { readTrimMark } from './CactusdealOperatorTrim.js';
 import {
@@ -54,7 +59,10 @@
         `no plan ${planId}; plans are kept for an hour`,
       );
     }
-    const unreadable = (message: string) => ({ kind: ConfirmFailureKind.PlanUnreadable, message });
+    const unreadable = ({ message }: ParseFailure) => ({
+      kind: ConfirmFailureKind.PlanUnreadable,
+      message,
+    });
     return parsePlan(record.value).mapLeft(unreadable);
   });
 }
--- a/packages/operator/src/CactusdealOperatorManifest.ts
+++ b/packages/operator/src/CactusdealOperatorManifest.ts
@@ -25,7 +25,10 @@
     const { revision } = record;
     return parseManifest(record.value)
       .map((manifest) => ({ manifest, revision }))
-      .mapLeft((message) => ({ kind: LoadFailureKind.Corrupt, message: `manifest: ${message}` }));
+      .mapLeft(({ message }) => ({
+        kind: LoadFailureKind.Corrupt,
+        message: `manifest: ${message}`,
+      }));
   });
 }
 
--- a/packages/operator/src/CactusdealOperatorShards.ts
+++ b/packages/operator/src/CactusdealOperatorShards.ts
@@ -4,7 +4,7 @@
 import type { Platform } from '@cactusdeal/platform';
 import type { Generation, Shard, ShardReference, Snapshot } from '@cactusdeal/schema';
 import { Either, Left, Right } from 'purify-ts';
-import { createParser } from './CactusdealOperatorCodec.js';
+import { createParser, type ParseFailure } from './CactusdealOperatorCodec.js';
 import { refuseCorrupt, toUnavailable } from './CactusdealOperatorManifest.js';
 import type { LoadFailure } from './CactusdealOperatorTypes.js';
 
@@ -79,10 +79,15 @@
 function openShard(reference: ShardReference, value: Uint8Array): Either<LoadFailure, Shard> {
   const text = Either.encase(() => gunzipSync(value, { maxOutputLength: MAX_TEXT_BYTES }));
   return text
-    .mapLeft((caught) => caught.message)
-    .chain((bytes) => (hashText(bytes) === reference.hash ? Right(bytes) : Left('another hash')))
+    .mapLeft<ParseFailure>(({ message }) => ({ kind: 'ValueMalformed', message }))
+    .chain((bytes) => checkHash(bytes, reference))
     .chain((bytes) => parseShard(bytes))
-    .chainLeft((reason) => refuseCorrupt(`shard ${reference.key}: ${reason}`));
+    .chainLeft(({ message }) => refuseCorrupt(`shard ${reference.key}: ${message}`));
+}
+
+function checkHash(bytes: Buffer, { hash }: ShardReference): Either<ParseFailure, Buffer> {
+  if (hashText(bytes) === hash) return Right(bytes);
+  return Left({ kind: 'ValueMismatch', message: 'another hash' });
 }
 
 function joinShards(
--- a/packages/operator/src/CactusdealOperatorTrim.ts
+++ b/packages/operator/src/CactusdealOperatorTrim.ts
@@ -31,7 +31,7 @@
     const { revision } = record;
     return parseMark(record.value)
       .map((mark) => ({ mark, revision }))
-      .chainLeft((message) => refuseCorrupt(`trim mark: ${message}`));
+      .chainLeft(({ message }) => refuseCorrupt(`trim mark: ${message}`));
   });
 }
 
