--- a/packages/daemon/src/CactusdealDaemonWiring.ts
+++ b/packages/daemon/src/CactusdealDaemonWiring.ts
@@ -32,6 +32,8 @@
   close(): Promise<void>;
 }
 
+/** Time between two samples of the event loop; each one wakes the process. */
+const LOOP_SAMPLE_MS = 1_000;
 /** Time that the announcement of a stop has to spread. */
 const DRAIN_NOTICE_MS = 1_000;
 
@@ -73,7 +75,7 @@
 async function buildParts(settings: CompleteSettings): Promise<Parts> {
   const log = createLog({ daemon: settings.id, dataCentre: settings.dataCentre });
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry });
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: LOOP_SAMPLE_MS });
   const platform = createHttpPlatform({ ...settings.platform, log });
   const holder = createConfigurationHolder({ log });
   const mesh = await startMesh({ settings, holder, platform, log });
