Run on the users' platform: relay, adapter, settings template and bundle

Cause: the deployment speaks another protocol and sets no machine aside; the present path of a call (undici on both hops, a claim in the store) costs 935 us and knows neither routes by host nor upstreams that announce themselves to the daemon beside them. Change: packages/relay (entry, links of cbor frames, gate with admission on arrival, balancer, members, readers of the configuration), platform/ (store, headers, heartbeats, operator's configuration, settings), one role, one bundled file.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,7 +30,7 @@
   .join('|');
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/*.generated.ts'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', '**/*.generated.ts'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -79,12 +79,13 @@
     },
   },
   {
-    files: ['**/*.mjs'],
+    files: ['**/*.mjs', '**/*.cjs'],
     rules: {
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
       'n/hashbang': 'off',
       'n/no-unsupported-features/node-builtins': 'off',
+      'import-x/extensions': 'off',
       'no-use-before-define': ['error', { functions: false }],
       'no-console': 'off',
       'no-await-in-loop': 'off',
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayAdmission.ts
@@ -0,0 +1,133 @@
+import type { ServiceTimes } from './CactusdealRelayServiceTimes.js';
+
+/** A call that wants a slot of the upstream. */
+export interface Applicant {
+  readonly kind: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** When its answer loses worth, by the queue's clock. */
+  readonly targetAtMs: number;
+  /** When its answer is no longer wanted, by the queue's clock. */
+  readonly deadlineAtMs: number;
+}
+
+/** What becomes of a call on its arrival. */
+export type Verdict =
+  | { readonly type: 'start' }
+  | { readonly type: 'wait' }
+  | { readonly type: 'refuse'; readonly retryAfterMs: number };
+
+/**
+ * Decides which calls get the slots of one upstream when more come than it can take.
+ *
+ * Load pattern: a flood of one kind of work for longer than its target. A queue that takes all of it
+ * answers everything late, so a call is refused on arrival when those before it leave no room to
+ * answer it in time; what was let in is answered, the most urgent first, then the earliest target.
+ */
+export interface Admission<T extends Applicant> {
+  admit(call: T, nowMs: number): Verdict;
+  /** Gives the slot of a call that has ended back. */
+  release(): void;
+  /** The next call for a free slot; undefined when none is free or nobody waits. */
+  takeNext(nowMs: number): T | undefined;
+  /** Takes out the calls that cannot be answered any more before they are unwanted. */
+  takeHopeless(nowMs: number): readonly T[];
+  /** Takes one call out, whose caller went away; false when it does not wait. */
+  remove(call: T): boolean;
+  /** Takes all out that wait. */
+  clear(): readonly T[];
+  setCapacity(capacity: number): void;
+  getLoad(): { readonly running: number; readonly waiting: number };
+}
+
+/** Part of the expected service time that must be left for a start to be worth it. */
+const LEAST_SERVICE_PART = 0.35;
+/** Part of the expected time that is taken as reserve when a place in the queue is promised. */
+const PROMISE_PART = 1.1;
+const LEAST_RETRY_MS = 30;
+
+export function createAdmission<T extends Applicant>(times: ServiceTimes): Admission<T> {
+  let waiting: T[] = [];
+  let running = 0;
+  let capacity = 0;
+  return {
+    admit,
+    release: () => {
+      running -= 1;
+    },
+    takeNext,
+    takeHopeless,
+    remove: (call) => {
+      const index = waiting.indexOf(call);
+      if (index >= 0) waiting.splice(index, 1);
+      return index >= 0;
+    },
+    clear: () => {
+      const all = waiting;
+      waiting = [];
+      return all;
+    },
+    setCapacity: (next) => {
+      capacity = next;
+    },
+    getLoad: () => ({ running, waiting: waiting.length }),
+  };
+
+  function admit(call: T, nowMs: number): Verdict {
+    if (running < capacity && waiting.length === 0) {
+      if (isHopeless(call, nowMs)) return { type: 'refuse', retryAfterMs: 0 };
+      running += 1;
+      return { type: 'start' };
+    }
+    const waitMs = computeWaitMs(call);
+    const endMs = nowMs + waitMs + times.estimate(call.kind) * PROMISE_PART;
+    if (capacity === 0 || endMs > call.targetAtMs) {
+      const excessMs = endMs - call.targetAtMs;
+      return { type: 'refuse', retryAfterMs: Math.max(LEAST_RETRY_MS, Math.min(excessMs, waitMs)) };
+    }
+    addWaiting(call);
+    return { type: 'wait' };
+  }
+
+  /** Time until the calls that go first have left a slot. */
+  function computeWaitMs(call: T): number {
+    let aheadMs = times.getMean();
+    waiting.forEach((other) => {
+      if (compareUrgency(other, call) <= 0) aheadMs += times.estimate(other.kind);
+    });
+    return aheadMs / Math.max(1, capacity);
+  }
+
+  function addWaiting(call: T): void {
+    let index = waiting.length;
+    while (index > 0 && compareUrgency(call, waiting[index - 1] as T) < 0) index -= 1;
+    waiting.splice(index, 0, call);
+  }
+
+  function takeNext(nowMs: number): T | undefined {
+    if (running >= capacity || waiting.length === 0) return undefined;
+    const inTime = waiting.findIndex((call) => isInTime(call, nowMs));
+    const [call] = waiting.splice(Math.max(0, inTime), 1);
+    running += 1;
+    return call;
+  }
+
+  function isInTime(call: T, nowMs: number): boolean {
+    return nowMs + times.estimate(call.kind) * LEAST_SERVICE_PART <= call.targetAtMs;
+  }
+
+  function isHopeless(call: T, nowMs: number): boolean {
+    return nowMs + times.estimate(call.kind) * LEAST_SERVICE_PART >= call.deadlineAtMs;
+  }
+
+  function takeHopeless(nowMs: number): readonly T[] {
+    const hopeless = waiting.filter((call) => isHopeless(call, nowMs));
+    if (hopeless.length > 0) waiting = waiting.filter((call) => !hopeless.includes(call));
+    return hopeless;
+  }
+}
+
+/** Below 0 when `left` goes first. */
+function compareUrgency(left: Applicant, right: Applicant): number {
+  return left.priority - right.priority || left.targetAtMs - right.targetAtMs;
+}
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -0,0 +1,165 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import { formatCaught, type Log } from '@cactusdeal/shared';
+import {
+  createMessageReader,
+  encodeMessage,
+  type Message,
+  MessageKind,
+} from './CactusdealRelayFrames.js';
+import type { Gate } from './CactusdealRelayGate.js';
+import { splitAddress } from './CactusdealRelayPeer.js';
+import type { Attempt, Member } from './CactusdealRelayTypes.js';
+import {
+  parseCall,
+  parseHello,
+  type Status,
+  toEndMessage,
+  toHelloMessage,
+  toReportMessage,
+  toStatusMessage,
+} from './CactusdealRelayWire.js';
+
+/** Takes the links that other daemons dial, and their calls to this daemon's gate. */
+export interface LinkListener {
+  /** Tells all of a gate that opened or closed. */
+  pushReport(): void;
+  /** Tells the own data centre of a new version or new word from the platform. */
+  pushStatus(): void;
+  /** Calls of other daemons that have not ended. */
+  countCalls(): number;
+  close(): Promise<void>;
+}
+
+export interface LinkListenerOptions {
+  readonly self: Member;
+  readonly gate: Gate;
+  readonly getStatus: () => Status;
+  readonly getConfigurationSource: () => string | undefined;
+  /** Runs when a daemon dialled that may not be known yet. */
+  readonly receiveMember: (member: Member) => void;
+  readonly log: Log;
+}
+
+interface Accepted {
+  readonly socket: Socket;
+  readonly calls: Map<number, Attempt>;
+  isLocal: boolean;
+}
+
+/** Time between reports to daemons of the own data centre, in milliseconds. */
+const LOCAL_REPORT_MS = 500;
+/** Time between reports to other data centres, over links that are dear. */
+const REMOTE_REPORT_MS = 3_000;
+
+/** Starts listening; rejects when the address is taken. */
+export async function startLinkListener(options: LinkListenerOptions): Promise<LinkListener> {
+  const links = new Set<Accepted>();
+  const server = createServer({ noDelay: true }, (socket) => {
+    acceptLink(options, links, socket);
+  });
+  await startListening(server, options.self.address);
+  const timers = [
+    setInterval(() => pushTo((link) => link.isLocal), LOCAL_REPORT_MS),
+    setInterval(() => pushTo((link) => !link.isLocal), REMOTE_REPORT_MS),
+  ];
+  return {
+    pushReport: () => writeAll(toReportMessage(options.gate.getReport()), () => true),
+    pushStatus: () => writeAll(toStatusMessage(options.getStatus()), (link) => link.isLocal),
+    countCalls: () => [...links].reduce((sum, link) => sum + link.calls.size, 0),
+    close: () => {
+      timers.forEach(clearInterval);
+      links.forEach(({ socket }) => socket.destroy());
+      return new Promise((resolve) => {
+        server.close(() => resolve());
+      });
+    },
+  };
+
+  function pushTo(accept: (link: Accepted) => boolean): void {
+    writeAll(toReportMessage(options.gate.getReport()), accept);
+    writeAll(toStatusMessage(options.getStatus()), accept);
+  }
+
+  function writeAll(message: Message, accept: (link: Accepted) => boolean): void {
+    if (links.size === 0) return;
+    const frame = encodeMessage(message);
+    links.forEach((link) => {
+      if (accept(link)) link.socket.write(frame);
+    });
+  }
+}
+
+function acceptLink(options: LinkListenerOptions, links: Set<Accepted>, socket: Socket): void {
+  const link: Accepted = { socket, calls: new Map(), isLocal: false };
+  links.add(link);
+  const read = createMessageReader((message) => receive(options, link, message));
+  socket.on('data', (chunk: Buffer) => {
+    try {
+      read(chunk);
+    } catch (caught) {
+      options.log.warn('link-unreadable', { message: formatCaught(caught) });
+      socket.destroy();
+    }
+  });
+  socket.on('error', (error) => {
+    options.log.info('link-broken', { message: formatCaught(error) });
+  });
+  socket.on('close', () => {
+    links.delete(link);
+    link.calls.forEach((attempt) => attempt.cancel());
+  });
+}
+
+function receive(options: LinkListenerOptions, held: Accepted, message: Message): void {
+  const link = held;
+  switch (message[0]) {
+    case MessageKind.Hello: {
+      const { member } = parseHello(message);
+      link.isLocal = member.dataCentre === options.self.dataCentre;
+      write(link, toHelloMessage(options.self, options.getStatus()));
+      write(link, toReportMessage(options.gate.getReport()));
+      options.receiveMember(member);
+      break;
+    }
+    case MessageKind.Call:
+      serveCall(options, link, message);
+      break;
+    case MessageKind.Cancel:
+      link.calls.get(message[1] as number)?.cancel();
+      break;
+    case MessageKind.Ping:
+      write(link, [MessageKind.Pong]);
+      break;
+    case MessageKind.WantConfiguration: {
+      const source = options.getConfigurationSource();
+      if (source !== undefined) write(link, [MessageKind.Configuration, source]);
+      break;
+    }
+    default:
+  }
+}
+
+function serveCall({ gate }: LinkListenerOptions, link: Accepted, message: Message): void {
+  const id = message[1] as number;
+  const attempt = gate.serve(parseCall(message));
+  link.calls.set(id, attempt);
+  void attempt.end.then((end) => {
+    link.calls.delete(id);
+    write(link, toEndMessage(id, end, gate.getReport()));
+  });
+}
+
+function write({ socket }: Accepted, message: Message): void {
+  if (!socket.destroyed) socket.write(encodeMessage(message));
+}
+
+function startListening(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -0,0 +1,71 @@
+import type { Clock, Log } from '@cactusdeal/shared';
+import type { GateView } from './CactusdealRelayBalancer.js';
+import { createPeer, type Peer } from './CactusdealRelayPeer.js';
+import type { Member } from './CactusdealRelayTypes.js';
+import type { Status } from './CactusdealRelayWire.js';
+
+/** The other daemons that this one knows, each with the link that it dials. */
+export interface Members {
+  /** Adds a daemon, or gives a known one its new address. */
+  add(member: Member): void;
+  /** Takes a whole list of registered daemons; one that is neither in it nor linked is forgotten. */
+  replace(listed: readonly Member[]): void;
+  find(id: string): Peer | undefined;
+  list(): readonly Peer[];
+  listGates(service: string): readonly GateView[];
+  countConnected(): number;
+  close(): void;
+}
+
+export interface MembersOptions {
+  readonly self: Member;
+  readonly getStatus: () => Status;
+  readonly receiveStatus: (peer: Peer, status: Status) => void;
+  readonly receiveConfiguration: (source: string) => void;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+export function createMembers(options: MembersOptions): Members {
+  const peers = new Map<string, Peer>();
+  return {
+    add,
+    replace: (listed) => {
+      listed.forEach(add);
+      const ids = new Set(listed.map((member) => member.id));
+      peers.forEach((peer, id) => {
+        if (!ids.has(id) && !peer.isConnected()) remove(id, peer);
+      });
+    },
+    find: (id) => peers.get(id),
+    list: () => [...peers.values()],
+    listGates: (service) => {
+      const views: GateView[] = [];
+      peers.forEach((peer) => {
+        const view = peer.getView();
+        if (view?.report.service === service) views.push(view);
+      });
+      return views;
+    },
+    countConnected: () => [...peers.values()].filter((peer) => peer.isConnected()).length,
+    close: () => {
+      peers.forEach((peer) => peer.close());
+      peers.clear();
+    },
+  };
+
+  function add(member: Member): void {
+    if (member.id === options.self.id) return;
+    const known = peers.get(member.id);
+    if (known?.member.address === member.address) return;
+    known?.close();
+    options.log.info('member-added', { member: member.id, address: member.address });
+    peers.set(member.id, createPeer({ ...options, member }));
+  }
+
+  function remove(id: string, peer: Peer): void {
+    options.log.info('member-removed', { member: id });
+    peer.close();
+    peers.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -0,0 +1,121 @@
+import { type Message, MessageKind } from './CactusdealRelayFrames.js';
+import type { AttemptEnd, GateCall, GateReport, Member } from './CactusdealRelayTypes.js';
+
+/** What a daemon says of itself when a link opens and from time to time. */
+export interface Status {
+  readonly version: number;
+  /** Age of its last word from the platform, in milliseconds; below 0 when it has none. */
+  readonly platformAgeMs: number;
+}
+
+const NO_BODY = null;
+
+/** Encodes a call as fields of a message. */
+export function toCallMessage(id: number, call: GateCall): Message {
+  return [
+    MessageKind.Call,
+    id,
+    call.service,
+    call.method,
+    call.path,
+    call.headers,
+    call.body ?? NO_BODY,
+    Math.round(call.remainingMs),
+    Math.round(call.targetMs),
+    call.priority,
+    call.kind,
+    call.idempotent,
+  ];
+}
+
+/** Decodes a call from the fields of its message. */
+export function parseCall(message: Message): GateCall {
+  const body = message[6] as Uint8Array | null;
+  return {
+    service: message[2] as string,
+    method: message[3] as string,
+    path: message[4] as string,
+    headers: message[5] as string[],
+    body: body ?? undefined,
+    remainingMs: message[7] as number,
+    targetMs: message[8] as number,
+    priority: message[9] as number,
+    kind: message[10] as string,
+    idempotent: message[11] as boolean,
+  };
+}
+
+/** Encodes how an attempt ended, with the gate's load for the entry's next choice. */
+export function toEndMessage(id: number, end: AttemptEnd, report: GateReport): Message {
+  const { load, failureRate } = report;
+  if (end.type === 'answered') {
+    const { status, headers, body } = end.answer;
+    const serviceMs = Math.round(end.serviceMs);
+    return [MessageKind.Answer, id, load, failureRate, status, headers, body, serviceMs];
+  }
+  if (end.type === 'unknown') return [MessageKind.Unknown, id, load, failureRate, end.reason];
+  const retryAfterMs = Math.round(end.retryAfterMs);
+  const { reason, reachedUpstream } = end;
+  return [MessageKind.NotRun, id, load, failureRate, reason, retryAfterMs, reachedUpstream];
+}
+
+/** Decodes the end of an attempt. */
+export function parseEnd(message: Message): AttemptEnd {
+  if (message[0] === MessageKind.Answer) {
+    const answer = {
+      status: message[4] as number,
+      headers: message[5] as string[],
+      body: message[6] as Uint8Array,
+    };
+    return { type: 'answered', answer, serviceMs: message[7] as number };
+  }
+  if (message[0] === MessageKind.Unknown) {
+    return { type: 'unknown', reason: message[4] as never };
+  }
+  return {
+    type: 'not-run',
+    reason: message[4] as never,
+    retryAfterMs: message[5] as number,
+    reachedUpstream: message[6] as boolean,
+  };
+}
+
+export function toReportMessage(report: GateReport): Message {
+  const { service, open, capacity, load, serviceMs, failureRate } = report;
+  return [MessageKind.Report, service, open, capacity, load, serviceMs, failureRate];
+}
+
+export function parseReport(message: Message): GateReport {
+  return {
+    service: message[1] as string,
+    open: message[2] as boolean,
+    capacity: message[3] as number,
+    load: message[4] as number,
+    serviceMs: message[5] as number,
+    failureRate: message[6] as number,
+  };
+}
+
+export function toHelloMessage(member: Member, status: Status): Message {
+  const { id, dataCentre, address } = member;
+  return [MessageKind.Hello, id, dataCentre, address, status.version, status.platformAgeMs];
+}
+
+export function parseHello(message: Message): { member: Member; status: Status } {
+  return {
+    member: {
+      id: message[1] as string,
+      dataCentre: message[2] as string,
+      address: message[3] as string,
+    },
+    status: { version: message[4] as number, platformAgeMs: message[5] as number },
+  };
+}
+
+export function toStatusMessage({ version, platformAgeMs }: Status): Message {
+  return [MessageKind.Status, version, Math.round(platformAgeMs)];
+}
+
+export function parseStatus(message: Message): Status {
+  return { version: message[1] as number, platformAgeMs: message[2] as number };
+}
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -0,0 +1,181 @@
+import { type Clock, createLog, getMonotonicMs, type Log, waitMs } from '@cactusdeal/shared';
+import { createConfigurations, type Configurations } from './CactusdealRelayConfigurations.js';
+import { type Entry, startEntry } from './CactusdealRelayEntry.js';
+import { createGate, type Gate } from './CactusdealRelayGate.js';
+import { type LinkListener, startLinkListener } from './CactusdealRelayLinkListener.js';
+import { createMembers, type Members } from './CactusdealRelayMembers.js';
+import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
+import type { ConfigurationSource, MemberRegistry } from './CactusdealRelayPorts.js';
+import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
+import { createRetryAccount } from './CactusdealRelayRetryAccount.js';
+import { createRouter } from './CactusdealRelayRouter.js';
+import type { HeaderNames, Member, RelayConfiguration } from './CactusdealRelayTypes.js';
+import { createUpstreamLife, type UpstreamLife } from './CactusdealRelayUpstreamLife.js';
+
+/** What a relay is made of. */
+export interface RelayOptions {
+  readonly self: Member;
+  /** `IP:PORT` for the callers on this host. */
+  readonly entryAddress: string;
+  /** `IP:PORT` of the upstream on this host. */
+  readonly upstreamAddress: string;
+  /** Service of the upstream on this host. */
+  readonly service: string;
+  /** Time between the upstream's heartbeats, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Time between the order to stop and the kill, in milliseconds. */
+  readonly graceMs: number;
+  readonly names: HeaderNames;
+  readonly source: ConfigurationSource;
+  readonly registry: MemberRegistry;
+  readonly countLostLines: () => number;
+}
+
+/** A running relay. */
+export interface Relay {
+  readonly life: UpstreamLife;
+  readonly metrics: RelayMetrics;
+  getConfiguration(): RelayConfiguration | undefined;
+  /** Whether callers should come here. */
+  isReady(): boolean;
+  /** Stops gracefully within the grace time: callers leave, calls end, then all closes. */
+  close(): Promise<void>;
+}
+
+/** Sent again to another upstream for each call, and in reserve for each service. */
+const RETRY = { ratio: 0.08, reserve: 2, refillMs: 15_000 } as const;
+/** Time in which the callers on this host notice that it is not ready. */
+const NOTICE_MS = 3_000;
+/** Time after the order to stop for which the gate still takes calls. */
+const GATE_OPEN_MS = 2_000;
+/** Part of the grace time after which nothing is waited for. */
+const GRACE_PART = 0.93;
+const IDLE_CHECK_MS = 50;
+/** Time after the start for which links to others are waited for. */
+const LINK_WAIT_MS = 1_200;
+
+interface Parts {
+  readonly gate: Gate;
+  readonly entry: Entry;
+  readonly listener: LinkListener;
+  readonly members: Members;
+  readonly configurations: Configurations;
+  readonly registration: Registration;
+  readonly life: UpstreamLife;
+  readonly log: Log;
+}
+
+/** Wires the parts into one relay and starts its tasks; rejects when an address is taken. */
+export async function startRelay(options: RelayOptions): Promise<Relay> {
+  const { self, names, source, registry } = options;
+  const clock = getMonotonicMs;
+  const { random } = Math;
+  const log = createLog({ daemon: self.id });
+  const startedAtMs = clock();
+  let isStopping = false;
+
+  const gate = createGate({
+    address: options.upstreamAddress,
+    service: options.service,
+    names,
+    clock,
+    log,
+    observe: () => listener?.pushReport(),
+  });
+  const life = createUpstreamLife({
+    heartbeatMs: options.heartbeatMs,
+    clock,
+    log,
+    observe: gate.setUpstream.bind(gate),
+  });
+  const configurations = createConfigurations({
+    self,
+    source,
+    clock,
+    random,
+    log,
+    observe: ({ limits }) => {
+      entry?.setLimits(limits);
+      listener?.pushStatus();
+    },
+  });
+  const getStatus = (): ReturnType<Configurations['getStatus']> => configurations.getStatus();
+  const members = createMembers({
+    self,
+    getStatus,
+    receiveStatus: (peer, status) => configurations.receiveStatus(peer, status),
+    receiveConfiguration: (text) => configurations.receive(text),
+    clock,
+    log,
+  });
+  const account = createRetryAccount({ ...RETRY, clock });
+  const router = createRouter({ self, gate, members, account, clock, random, log });
+  const registration = createRegistration({ self, registry, random, log });
+  let listener: LinkListener | undefined;
+  let entry: Entry | undefined;
+  const metrics = createRelayMetrics({
+    getReport: () => gate.getReport(),
+    getVersion: () => getStatus().version,
+    getPlatformAgeMs: () => getStatus().platformAgeMs,
+    countLinks: () => members.countConnected(),
+    countLostLines: options.countLostLines,
+  });
+  listener = await startLinkListener({
+    self,
+    gate,
+    getStatus,
+    getConfigurationSource: () => configurations.get()?.source,
+    receiveMember: (member) => members.add(member),
+    log,
+  });
+  entry = await startEntry({
+    address: options.entryAddress,
+    callerService: options.service,
+    names,
+    getRoutes: () => configurations.getRoutes(),
+    router,
+    clock,
+    log,
+    recordCall: metrics.recordCall,
+  });
+  void configurations.run(members);
+  void registration.run(members);
+  log.info('started', { entry: options.entryAddress, dataCentre: self.dataCentre });
+  const parts = { gate, entry, listener, members, configurations, registration, life, log };
+  return {
+    life,
+    metrics,
+    getConfiguration: () => configurations.get(),
+    isReady: () => {
+      if (isStopping || configurations.get() === undefined) return false;
+      return members.countConnected() > 0 || clock() - startedAtMs > LINK_WAIT_MS;
+    },
+    close: async () => {
+      isStopping = true;
+      await closeParts(parts, options.graceMs * GRACE_PART, clock);
+    },
+  };
+}
+
+/** The order matters: callers leave first, then the gate shuts, then what runs ends. */
+async function closeParts(parts: Parts, limitMs: number, clock: Clock): Promise<void> {
+  const { gate, entry, listener, members, configurations, registration, life, log } = parts;
+  const stoppedAtMs = clock();
+  log.info('stopping', { calls: entry.countCalls(), served: listener.countCalls() });
+  entry.drain();
+  await waitMs(Math.min(GATE_OPEN_MS, limitMs / 2));
+  gate.drain();
+  while (clock() - stoppedAtMs < limitMs) {
+    const isIdle = entry.countCalls() + listener.countCalls() === 0;
+    if (isIdle && clock() - stoppedAtMs >= NOTICE_MS) break;
+    await waitMs(IDLE_CHECK_MS);
+  }
+  configurations.close();
+  await Promise.race([registration.close(), waitMs(IDLE_CHECK_MS)]);
+  log.info('stopped', { calls: entry.countCalls(), served: listener.countCalls() });
+  entry.close();
+  members.close();
+  life.close();
+  gate.close();
+  await listener.close();
+}
--- /dev/null
+++ b/packages/relay/src/index.ts
@@ -0,0 +1,20 @@
+export { findField } from './CactusdealRelayHeaders.js';
+export { splitAddress } from './CactusdealRelayPeer.js';
+export {
+  type ConfigurationReading,
+  type ConfigurationSource,
+  type MemberRegistry,
+  type PlatformFault,
+  PlatformFaultKind,
+} from './CactusdealRelayPorts.js';
+export {
+  type CallerLimits,
+  type HeaderNames,
+  type Heartbeat,
+  type Member,
+  type RelayConfiguration,
+  type RoutePart,
+  type RouteRule,
+  type Upstream,
+} from './CactusdealRelayTypes.js';
+export { type Relay, type RelayOptions, startRelay } from './CactusdealRelayWiring.js';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -9,5 +9,6 @@
   LogLevel,
   startLogging,
 } from './CactusdealSharedLog.js';
+export { createLogWriter, type LogWriter } from './CactusdealSharedLogWriter.js';
 export { createSeededRandom, pickRandom, type Random } from './CactusdealSharedRandom.js';
 export { type Clock, getMonotonicMs, getWallTimeMs, waitMs } from './CactusdealSharedTime.js';
