--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -20,6 +20,8 @@
   readonly ownId: string;
   /** Gates that this call has been at, by member id. */
   readonly tried: ReadonlySet<string>;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   /** Time left until the answer loses worth, in milliseconds. */
   readonly targetMs: number;
   readonly nowMs: number;
@@ -30,6 +32,8 @@
 const REMOTE_MS = 8;
 /** Part of the target by which an answer from the own data centre has to be expected. */
 const LOCAL_TARGET_PART = 0.75;
+/** The same for the most urgent work, which is worth more than the bytes of a longer way. */
+const URGENT_TARGET_PART = 0.4;
 /** Load told by another entry's traffic fades, as it was answered meanwhile, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 400;
 const FAILURE_PENALTY = 3;
@@ -47,7 +51,8 @@
       gate.report.open && gate.avoidedUntilMs <= input.nowMs && !input.tried.has(gate.memberId),
   );
   const local = findSoonest(open, input, (gate) => gate.dataCentre === input.dataCentre);
-  if (local !== undefined && local.answerMs <= input.targetMs * LOCAL_TARGET_PART) {
+  const part = input.priority === 0 ? URGENT_TARGET_PART : LOCAL_TARGET_PART;
+  if (local !== undefined && local.answerMs <= input.targetMs * part) {
     return local.gate;
   }
   const remote = findSoonest(open, input, (gate) => gate.dataCentre !== input.dataCentre);
--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -162,7 +162,6 @@
 
   /** Whether too few others of this data centre, by the order of their ids, read for all. */
   private shouldRead(members: Members): boolean {
-    if (this.current === undefined) return true;
     const { self, clock } = this.options;
     const nowMs = clock();
     const readers = members.list().filter((peer) => {
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -49,7 +49,7 @@
 /** Time between reports to daemons of the own data centre, in milliseconds. */
 const LOCAL_REPORT_MS = 500;
 /** Time between reports to other data centres, over links that are dear. */
-const REMOTE_REPORT_MS = 3_000;
+const REMOTE_REPORT_MS = 10_000;
 
 /** Starts listening; rejects when the address is taken. */
 export async function startLinkListener(options: LinkListenerOptions): Promise<LinkListener> {
@@ -63,8 +63,12 @@
     setInterval(() => pushTo((link) => !link.isLocal), REMOTE_REPORT_MS),
   ];
   return {
-    pushReport: () => writeAll(toReportMessage(options.gate.getReport()), () => true),
-    pushStatus: () => writeAll(toStatusMessage(options.getStatus()), (link) => link.isLocal),
+    pushReport: () => {
+      writeAll(encodeMessage(toReportMessage(options.gate.getReport())), () => true);
+    },
+    pushStatus: () => {
+      writeAll(encodeMessage(toStatusMessage(options.getStatus())), (link) => link.isLocal);
+    },
     countCalls: () => [...links].reduce((sum, link) => sum + link.calls.size, 0),
     close: () => {
       timers.forEach(clearInterval);
@@ -76,13 +80,12 @@
   };
 
   function pushTo(accept: (link: Accepted) => boolean): void {
-    writeAll(toReportMessage(options.gate.getReport()), accept);
-    writeAll(toStatusMessage(options.getStatus()), accept);
+    const report = encodeMessage(toReportMessage(options.gate.getReport()));
+    const status = encodeMessage(toStatusMessage(options.getStatus()));
+    writeAll(Buffer.concat([report, status]), accept);
   }
 
-  function writeAll(message: Message, accept: (link: Accepted) => boolean): void {
-    if (links.size === 0) return;
-    const frame = encodeMessage(message);
+  function writeAll(frame: Buffer, accept: (link: Accepted) => boolean): void {
     links.forEach((link) => {
       if (accept(link)) link.socket.write(frame);
     });
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -62,10 +62,12 @@
 const WATCH_MS = 150;
 /** Silence with calls pending after which the peer is asked for a sign of life. */
 const PING_AFTER_MS = 250;
+/** Silence with calls pending after which the gate gets no further calls. */
+const DOUBT_AFTER_MS = 400;
 /** Silence with calls pending after which the link is given up. */
 const LOST_AFTER_MS = 900;
 /** Silence without calls after which the link is given up; well above the time between reports. */
-const IDLE_LOST_AFTER_MS = 7_000;
+const IDLE_LOST_AFTER_MS = 25_000;
 
 /** Dials a peer for as long as it is not closed. */
 export function createPeer(options: PeerOptions): Peer {
@@ -109,7 +111,8 @@
   public getView(): GateView | undefined {
     if (this.socket === undefined || this.report === undefined) return undefined;
     const { id, dataCentre } = this.member;
-    const { report, reportedAtMs, unreported, avoidedUntilMs } = this;
+    const { report, reportedAtMs, unreported } = this;
+    const avoidedUntilMs = this.isDoubtful() ? Infinity : this.avoidedUntilMs;
     return { memberId: id, dataCentre, report, reportedAtMs, unreported, avoidedUntilMs };
   }
 
@@ -182,6 +185,10 @@
     lost.forEach(({ settle }) => settle({ type: 'unknown', reason: UnknownReason.LinkLost }));
   }
 
+  private isDoubtful(): boolean {
+    return this.pending.size > 0 && this.options.clock() - this.heardAtMs > DOUBT_AFTER_MS;
+  }
+
   private checkSilence(socket: Socket): void {
     if (this.socket === undefined) return;
     const silentMs = this.options.clock() - this.heardAtMs;
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -137,6 +137,7 @@
       dataCentre: self.dataCentre,
       ownId: self.id,
       tried: this.tried,
+      priority: this.routed.call.priority,
       targetMs: this.routed.targetAtMs - nowMs,
       nowMs,
       random,
--- /dev/null
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -0,0 +1,64 @@
+import type { GateView } from '../CactusdealRelayBalancer.js';
+import type { RelayConfiguration, RouteRule, Upstream } from '../CactusdealRelayTypes.js';
+
+export function buildRule(changes: Partial<RouteRule> = {}): RouteRule {
+  return {
+    name: 'rule',
+    host: 'a.example',
+    prefix: '/',
+    idempotent: true,
+    timeoutMs: 1_000,
+    targetMs: 500,
+    priority: 1,
+    maxAttempts: 2,
+    parts: [{ service: 'records', weight: 1 }],
+    ...changes,
+  };
+}
+
+export function buildConfiguration(routes: readonly RouteRule[], version = 1): RelayConfiguration {
+  const limits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  };
+  return { version, routes, services: new Set(['records']), limits, source: String(version) };
+}
+
+export function buildUpstream(changes: Partial<Upstream> = {}): Upstream {
+  return {
+    id: 'u1',
+    service: 'records',
+    capacity: 2,
+    state: 'ready',
+    startedAtMs: 1_000,
+    sequence: 1,
+    warmupMs: 0,
+    ...changes,
+  };
+}
+
+interface GateChanges extends Partial<Omit<GateView, 'report'>> {
+  readonly report?: Partial<GateView['report']>;
+}
+
+export function buildGateView(changes: GateChanges = {}): GateView {
+  return {
+    memberId: 'd1',
+    dataCentre: 'west',
+    reportedAtMs: 0,
+    unreported: 0,
+    avoidedUntilMs: 0,
+    ...changes,
+    report: {
+      service: 'records',
+      open: true,
+      capacity: 10,
+      load: 0,
+      serviceMs: 100,
+      failureRate: 0,
+      ...changes.report,
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayAdmission.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { type Applicant, createAdmission } from '../../CactusdealRelayAdmission.js';
+import { createServiceTimes } from '../../CactusdealRelayServiceTimes.js';
+
+const SERVICE_MS = 100;
+
+function buildAdmission(capacity: number) {
+  const times = createServiceTimes();
+  times.record('kind', SERVICE_MS);
+  const admission = createAdmission<Applicant>(times);
+  admission.setCapacity(capacity);
+  return admission;
+}
+
+function buildApplicant(changes: Partial<Applicant> = {}): Applicant {
+  return { kind: 'kind', priority: 1, targetAtMs: 500, deadlineAtMs: 1_000, ...changes };
+}
+
+interface Case {
+  readonly name: string;
+  readonly capacity: number;
+  /** Calls that came before, in order. */
+  readonly before: readonly Partial<Applicant>[];
+  readonly call: Partial<Applicant>;
+  readonly expected: string;
+}
+
+const cases: readonly Case[] = [
+  { name: 'starts on a free slot', capacity: 1, before: [], call: {}, expected: 'start' },
+  { name: 'refuses without slots', capacity: 0, before: [], call: {}, expected: 'refuse' },
+  {
+    name: 'starts late work on a free slot',
+    capacity: 1,
+    before: [],
+    call: { targetAtMs: -1 },
+    expected: 'start',
+  },
+  {
+    name: 'refuses what would end after its deadline',
+    capacity: 1,
+    before: [],
+    call: { deadlineAtMs: 10 },
+    expected: 'refuse',
+  },
+  { name: 'lets wait what is in time', capacity: 1, before: [{}], call: {}, expected: 'wait' },
+  {
+    name: 'refuses at once what would be late',
+    capacity: 1,
+    before: [{}, {}, {}, {}],
+    call: {},
+    expected: 'refuse',
+  },
+  {
+    name: 'lets urgent work wait where other work is refused',
+    capacity: 1,
+    before: [{}, {}, {}, {}],
+    call: { priority: 0 },
+    expected: 'wait',
+  },
+];
+
+describe('admission on arrival', () => {
+  cases.forEach(({ name, capacity, before, call, expected }) => {
+    it(name, () => {
+      const admission = buildAdmission(capacity);
+      before.forEach((earlier) => admission.admit(buildApplicant(earlier), 0));
+      assert.equal(admission.admit(buildApplicant(call), 0).type, expected);
+    });
+  });
+});
+
+const orders: readonly [name: string, waiting: readonly Partial<Applicant>[], first: number][] = [
+  ['the most urgent', [{}, { priority: 0 }], 1],
+  ['the earliest target', [{ targetAtMs: 450 }, { targetAtMs: 400 }], 1],
+  ['what is still in time', [{ priority: 0, targetAtMs: 260 }, {}], 1],
+];
+
+describe('next call for a slot', () => {
+  orders.forEach(([name, waiting, first]) => {
+    it(`is ${name}`, () => {
+      const admission = buildAdmission(1);
+      admission.admit(buildApplicant(), 0);
+      const calls = waiting.map((changes) => buildApplicant(changes));
+      calls.forEach((call) => admission.admit(call, 0));
+      admission.release();
+      assert.equal(admission.takeNext(250), calls[first]);
+    });
+  });
+
+  it('leaves out what was removed', () => {
+    const admission = buildAdmission(1);
+    admission.admit(buildApplicant(), 0);
+    const call = buildApplicant();
+    admission.admit(call, 0);
+    assert.equal(admission.remove(call), true);
+    admission.release();
+    assert.equal(admission.takeNext(0), undefined);
+  });
+
+  it('gives back what cannot be answered any more', () => {
+    const admission = buildAdmission(1);
+    admission.admit(buildApplicant(), 0);
+    const call = buildApplicant();
+    admission.admit(call, 0);
+    assert.deepEqual(admission.takeHopeless(900), []);
+    assert.deepEqual(admission.takeHopeless(990), [call]);
+  });
+});
+
+/** A flood at `load` times capacity for ten seconds, replayed against one upstream. */
+function runFlood(load: number): { inTime: number; capacity: number } {
+  const slots = 4;
+  const admission = buildAdmission(slots);
+  const capacity = (slots * 10_000) / SERVICE_MS;
+  const gapMs = SERVICE_MS / slots / load;
+  const running: { endAtMs: number; call: Applicant }[] = [];
+  let inTime = 0;
+  for (let nowMs = 0; nowMs < 10_000; nowMs += gapMs) {
+    finishRuns(nowMs);
+    const call = buildApplicant({ targetAtMs: nowMs + 300, deadlineAtMs: nowMs + 600 });
+    if (admission.admit(call, nowMs).type === 'start') run(call, nowMs);
+  }
+  return { inTime, capacity };
+
+  function run(call: Applicant, nowMs: number): void {
+    running.push({ endAtMs: nowMs + SERVICE_MS, call });
+  }
+
+  function finishRuns(nowMs: number): void {
+    for (;;) {
+      const [first] = running;
+      if (first === undefined || first.endAtMs > nowMs) return;
+      running.shift();
+      admission.release();
+      if (first.endAtMs <= first.call.targetAtMs) inTime += 1;
+      const next = admission.takeNext(first.endAtMs);
+      if (next !== undefined) run(next, first.endAtMs);
+    }
+  }
+}
+
+describe('flood at an upstream', () => {
+  [1, 1.5, 2.5, 5].forEach((load) => {
+    it(`answers nearly what it can in time at ${load} times its capacity`, () => {
+      const { inTime, capacity } = runFlood(load);
+      assert.ok(inTime >= 0.95 * capacity, `${inTime} of ${capacity}`);
+    });
+  });
+});
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { type ChoiceInput, chooseGate, type GateView } from '../../CactusdealRelayBalancer.js';
+import { buildGateView } from '../CactusdealRelayFixtures.js';
+
+interface Case {
+  readonly name: string;
+  readonly gates: readonly GateView[];
+  readonly input?: Partial<ChoiceInput>;
+  readonly expected: string | undefined;
+}
+
+const near = (changes: Parameters<typeof buildGateView>[0] = {}): GateView =>
+  buildGateView({ memberId: 'near', dataCentre: 'west', ...changes });
+const far = (changes: Parameters<typeof buildGateView>[0] = {}): GateView =>
+  buildGateView({ memberId: 'far', dataCentre: 'east', ...changes });
+
+const cases: readonly Case[] = [
+  { name: 'takes none when there is none', gates: [], expected: undefined },
+  { name: 'stays in its data centre', gates: [far(), near()], expected: 'near' },
+  {
+    name: 'stays though another data centre is somewhat faster',
+    gates: [near({ report: { serviceMs: 300 } }), far({ report: { serviceMs: 100 } })],
+    expected: 'near',
+  },
+  {
+    name: 'leaves for urgent work that would come close to its target',
+    gates: [near({ report: { serviceMs: 300 } }), far({ report: { serviceMs: 100 } })],
+    input: { priority: 0 },
+    expected: 'far',
+  },
+  {
+    name: 'leaves when the own data centre would be late',
+    gates: [near({ report: { load: 60 } }), far()],
+    expected: 'far',
+  },
+  {
+    name: 'stays when all would be late and the own is sooner',
+    gates: [near({ report: { load: 60 } }), far({ report: { load: 90 } })],
+    expected: 'near',
+  },
+  {
+    name: 'passes over a closed gate',
+    gates: [near({ report: { open: false } }), far()],
+    expected: 'far',
+  },
+  {
+    name: 'passes over a gate that the call has been at',
+    gates: [near(), far()],
+    input: { tried: new Set(['near']) },
+    expected: 'far',
+  },
+  {
+    name: 'passes over an avoided gate',
+    gates: [near({ avoidedUntilMs: 1 }), far()],
+    expected: 'far',
+  },
+  {
+    name: 'counts what it sent since the last report',
+    gates: [near({ unreported: 60 }), far()],
+    expected: 'far',
+  },
+  {
+    name: 'passes over a gate whose upstream fails most calls',
+    gates: [near({ report: { failureRate: 1 } }), near({ memberId: 'sound' })],
+    expected: 'sound',
+  },
+  {
+    name: 'takes the faster of two in one data centre',
+    gates: [near({ report: { serviceMs: 300 } }), near({ memberId: 'fast' })],
+    expected: 'fast',
+  },
+];
+
+describe('choice of a gate', () => {
+  cases.forEach(({ name, gates, input, expected }) => {
+    it(name, () => {
+      const chosen = chooseGate({
+        gates,
+        dataCentre: 'west',
+        ownId: 'self',
+        tried: new Set(),
+        priority: 1,
+        targetMs: 500,
+        nowMs: 0,
+        random: () => 0,
+        ...input,
+      });
+      assert.equal(chosen?.memberId, expected);
+    });
+  });
+});
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayFrames.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import {
+  createMessageReader,
+  encodeMessage,
+  MAX_MESSAGE_BYTES,
+  type Message,
+  MessageKind,
+} from '../../CactusdealRelayFrames.js';
+
+const SEED = 20261204;
+
+const message = fc.tuple(
+  fc.constantFrom(...Object.values(MessageKind)),
+  fc.oneof(fc.string(), fc.integer(), fc.array(fc.string()), fc.boolean()),
+);
+
+describe('messages on a link', () => {
+  it('come out whole however their bytes are cut', () => {
+    fc.assert(
+      fc.property(fc.array(message), fc.integer({ min: 1, max: 40 }), (messages, size) => {
+        const received: Message[] = [];
+        const read = createMessageReader((next) => received.push(next));
+        const bytes = Buffer.concat(messages.map((next) => encodeMessage(next)));
+        for (let at = 0; at < bytes.length; at += size) read(bytes.subarray(at, at + size));
+        assert.deepEqual(received, messages);
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it('keep the bytes of a body', () => {
+    const received: Message[] = [];
+    const read = createMessageReader((next) => received.push(next));
+    read(encodeMessage([MessageKind.Answer, Buffer.from([0, 1, 255])]));
+    assert.deepEqual(Buffer.from(received[0]?.[1] as Uint8Array), Buffer.from([0, 1, 255]));
+  });
+
+  it('are refused when they claim to be too long', () => {
+    const head = Buffer.alloc(4);
+    head.writeUInt32BE(MAX_MESSAGE_BYTES + 1);
+    assert.throws(() => createMessageReader(() => {})(head), RangeError);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRetryAccount.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createRetryAccount } from '../../CactusdealRelayRetryAccount.js';
+
+const cases: readonly [name: string, calls: number, waitMs: number, expected: number][] = [
+  ['its reserve without calls', 0, 0, 3],
+  ['no more than its reserve after many calls', 1_000, 0, 3],
+  ['its reserve again after a while', 0, 10_000, 3],
+];
+
+describe('retry account', () => {
+  cases.forEach(([name, calls, waitMs, expected]) => {
+    it(`gives ${name}`, () => {
+      let nowMs = 0;
+      const account = createRetryAccount({
+        ratio: 0.1,
+        reserve: 3,
+        refillMs: 10_000,
+        clock: () => nowMs,
+      });
+      for (let call = 0; call < calls; call += 1) account.earn('records');
+      if (waitMs > 0) while (account.spend('records'));
+      nowMs = waitMs;
+      let given = 0;
+      while (account.spend('records')) given += 1;
+      assert.equal(given, expected);
+    });
+  });
+
+  it('gives a tenth of the calls when all of them fail', () => {
+    const account = createRetryAccount({
+      ratio: 0.1,
+      reserve: 3,
+      refillMs: 10_000,
+      clock: () => 0,
+    });
+    let given = 0;
+    for (let call = 0; call < 1_000; call += 1) {
+      account.earn('records');
+      if (account.spend('records')) given += 1;
+    }
+    assert.ok(given >= 99 && given <= 104, String(given));
+  });
+});
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRoutes.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { buildRouteTable, createPicker } from '../../CactusdealRelayRoutes.js';
+import { buildConfiguration, buildRule } from '../CactusdealRelayFixtures.js';
+
+const table = buildRouteTable(
+  buildConfiguration([
+    buildRule({ name: 'root', host: 'a.example', prefix: '/' }),
+    buildRule({ name: 'deep', host: 'a.example', prefix: '/one/two/' }),
+    buildRule({ name: 'short', host: 'a.example', prefix: '/one/' }),
+    buildRule({ name: 'other', host: 'b.example', prefix: '/one/' }),
+  ]),
+);
+
+const matches: readonly [host: string, target: string, expected: string | undefined][] = [
+  ['a.example', '/one/two/three', 'deep'],
+  ['a.example', '/one/two/', 'deep'],
+  ['a.example', '/one/two', 'short'],
+  ['a.example', '/one/twofold', 'short'],
+  ['a.example', '/', 'root'],
+  ['a.example', '/x?y=/one/two/', 'root'],
+  ['A.Example:8080', '/one/', 'short'],
+  ['b.example', '/', undefined],
+  ['b.example', '/one/x', 'other'],
+  ['c.example', '/one/', undefined],
+];
+
+describe('route table', () => {
+  matches.forEach(([host, target, expected]) => {
+    it(`leads ${host}${target} to ${expected ?? 'no route'}`, () => {
+      assert.equal(table.match(host, target)?.rule.name, expected);
+    });
+  });
+});
+
+const splits: readonly [weights: readonly number[], calls: number, expected: readonly number[]][] =
+  [
+    [[1], 10, [10]],
+    [[90, 10], 100, [90, 10]],
+    [[3, 2], 5, [3, 2]],
+    [[1, 0], 7, [7, 0]],
+    [[1, 1, 2], 8, [2, 2, 4]],
+  ];
+
+describe('parts of a route', () => {
+  splits.forEach(([weights, calls, expected]) => {
+    it(`splits ${calls} calls by ${weights.join(':')}`, () => {
+      const parts = weights.map((weight, index) => ({ service: String(index), weight }));
+      const pick = createPicker(parts);
+      const counts = weights.map(() => 0);
+      for (let call = 0; call < calls; call += 1) {
+        const index = Number(pick());
+        counts[index] = (counts[index] ?? 0) + 1;
+      }
+      assert.deepEqual(counts, expected);
+    });
+  });
+});
--- a/packages/shared/src/CactusdealSharedLogWriter.ts
+++ b/packages/shared/src/CactusdealSharedLogWriter.ts
@@ -62,7 +62,7 @@
   function flush(): void {
     clearTimeout(timer);
     timer = undefined;
-    if (lost > reported) {
+    if (lost > reported && stream.writableLength <= maxWaitingBytes) {
       lines.push(`level=warn event=log-lines-lost lines=${lost - reported} total=${lost}`);
       reported = lost;
     }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -6,9 +6,10 @@
 const CONCURRENCY = 4;
 
 function listTestFiles() {
-  const files = readdirSync('packages', { recursive: true })
-    .map((file) => `packages/${file}`)
-    .filter((file) => /^packages\/[^/]+\/dist\/__tests__\/.*\.test\.js$/.test(file))
+  const files = ['packages', 'platform']
+    .flatMap((root) => readdirSync(root, { recursive: true }).map((file) => `${root}/${file}`))
+    .filter((file) => /^[^.]+\/dist\/__tests__\/.*\.test\.js$/.test(file))
+    .filter((file) => !file.includes('node_modules'))
     // A compiled test whose source is gone is left over from another branch.
     .filter((file) => existsSync(file.replace('/dist/', '/src/').replace(/\.js$/, '.ts')));
   const wanted = process.argv.slice(2);
