--- a/packages/daemon/src/CactusdealDaemonStatus.ts
+++ b/packages/daemon/src/CactusdealDaemonStatus.ts
@@ -1,8 +1,8 @@
 import type { ConfigurationHolder, Rejection } from '@cactusdeal/configuration';
-import type { Mesh, SurveyResult } from '@cactusdeal/mesh';
+import type { Mesh } from '@cactusdeal/mesh';
 import type { Platform } from '@cactusdeal/platform';
 import type { MemberRecord, ServiceSummary } from '@cactusdeal/schema';
-import { readStatus } from './CactusdealDaemonSurvey.js';
+import { type DataCentreStatus, readStatus } from './CactusdealDaemonSurvey.js';
 
 /** A drain that the configuration orders, with what its worker's daemon announced. */
 export interface DrainStatus {
@@ -30,13 +30,6 @@
   readonly isReader: boolean;
 }
 
-/** How a data centre stands, as its reader last wrote it to the platform. */
-export interface DataCentreStatus extends SurveyResult {
-  readonly dataCentre: string;
-  readonly version: number;
-  readonly surveyedAtMs: number;
-}
-
 /** Builds the drains of the status from the configuration and the membership. */
 export function listDrains(holder: ConfigurationHolder, mesh: Mesh): readonly DrainStatus[] {
   const members = mesh.getMembers();
--- a/packages/daemon/src/CactusdealDaemonSurvey.ts
+++ b/packages/daemon/src/CactusdealDaemonSurvey.ts
@@ -1,14 +1,20 @@
 import type { ConfigurationHolder } from '@cactusdeal/configuration';
-import type { Mesh } from '@cactusdeal/mesh';
+import type { Mesh, SurveyResult } from '@cactusdeal/mesh';
 import type { Platform, PlatformRecord } from '@cactusdeal/platform';
 import { type Clock, type Log, waitMs } from '@cactusdeal/shared';
 import { decode, encode } from 'cbor-x';
-import type { DataCentreStatus } from './CactusdealDaemonStatus.js';
 
 const SURVEY_MS = 1_500;
 const PAUSE_MS = 1_000;
 const SETTLED_PAUSE_MS = 15_000;
 
+/** How a data centre stands, as its reader last wrote it to the platform. */
+export interface DataCentreStatus extends SurveyResult {
+  readonly dataCentre: string;
+  readonly version: number;
+  readonly surveyedAtMs: number;
+}
+
 /** Surveys the data centre that this daemon belongs to. */
 export async function surveyDataCentre(options: {
   readonly mesh: Mesh;
--- a/packages/mesh/src/CactusdealMesh.ts
+++ b/packages/mesh/src/CactusdealMesh.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { Socket } from 'node:net';
-import { waitMs } from '@cactusdeal/shared';
+import { getMonotonicMs, waitMs } from '@cactusdeal/shared';
 import { MeshFailureKind } from './CactusdealMeshFailure.js';
 import { type Listener, openListener } from './CactusdealMeshListener.js';
 import type { MeshOptions } from './CactusdealMeshOptions.js';
@@ -11,6 +11,9 @@
 
 /** Time that a departing daemon stays reachable while its last record spreads. */
 const LEAVE_MS = 250;
+/** Part of a survey's time that has to be left for another one. */
+const LEAST_SURVEY_PART = 0.3;
+const SURVEY_PAUSE_MS = 20;
 const SURVEY_ID_BYTES = 9;
 
 /** A mesh that can also end as a killed process does. */
@@ -74,16 +77,34 @@
   };
 }
 
+/**
+ * Surveys until all expected daemons have answered or the time is over. A link that is replaced while
+ * a survey passes over it hides the daemons behind it, which the next survey reaches another way.
+ */
 async function runSurvey(
+  parts: MeshParts,
+  version: number,
+  timeoutMs: number,
+): Promise<SurveyResult> {
+  const endsAtMs = getMonotonicMs() + timeoutMs;
+  let best = await surveyOnce(parts, version, timeoutMs);
+  while (best.answered < best.expected) {
+    const leftMs = endsAtMs - getMonotonicMs();
+    if (leftMs < timeoutMs * LEAST_SURVEY_PART) break;
+    await waitMs(SURVEY_PAUSE_MS);
+    const next = await surveyOnce(parts, version, leftMs - SURVEY_PAUSE_MS);
+    if (next.answered >= best.answered) best = next;
+  }
+  return best;
+}
+
+async function surveyOnce(
   { surveys, members }: MeshParts,
   version: number,
   timeoutMs: number,
 ): Promise<SurveyResult> {
-  const totals = await surveys.run(
-    randomBytes(SURVEY_ID_BYTES).toString('base64url'),
-    version,
-    timeoutMs,
-  );
+  const id = randomBytes(SURVEY_ID_BYTES).toString('base64url');
+  const totals = await surveys.run(id, version, timeoutMs);
   return { ...totals, expected: members.listPresent().length + 1 };
 }
 
