Keep a gate in the choice after one broken answer; stop in less time; gather versions longer

Change: the failure rate alone steers after a broken answer; a stop notices for 2.3 s; versions gather for 600 ms; non-urgent work stays in its data centre up to 0.9 of its target. Ruled out: leaving the readiness good while stopping.

--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -31,7 +31,7 @@
 /** Round trip to another data centre, in milliseconds. */
 const REMOTE_MS = 8;
 /** Part of the target by which an answer from the own data centre has to be expected. */
-const LOCAL_TARGET_PART = 0.75;
+const LOCAL_TARGET_PART = 0.9;
 /** The same for the most urgent work, which is worth more than the bytes of a longer way. */
 const URGENT_TARGET_PART = 0.4;
 /** Load told by another entry's traffic fades, as it was answered meanwhile, in milliseconds. */
--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -39,7 +39,7 @@
 const READERS = 2;
 const WATCH_MS = 2_500;
 /** Pause before the next watch, in which quick successions of versions gather into one reading. */
-const GATHER_MS = 250;
+const GATHER_MS = 600;
 /** Age of a reader's last word from the platform beyond which others read themselves. */
 const STALE_AFTER_MS = 3_600;
 const IDLE_CHECK_MS = 250;
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -62,7 +62,6 @@
 const SEARCH_PART = 0.125;
 const NO_UPSTREAM_RETRY_MS = 250;
 const AVOID_CLOSED_MS = 150;
-const AVOID_BROKEN_MS = 300;
 const SERVER_ERROR = 500;
 const TIMEOUT_STATUS = 504;
 
@@ -161,7 +160,7 @@
   private mayContinue(view: GateView, end: AttemptEnd): boolean {
     this.logEnd(view, end);
     if (end.type === 'answered') return this.mayFollowAnswer(end.answer);
-    if (end.type === 'unknown') return this.mayFollowUnknown(view, end);
+    if (end.type === 'unknown') return this.mayFollowUnknown(end);
     this.last = mergeRefusal(this.last, end);
     if (end.reachedUpstream) return this.maySendAgain();
     return this.mayAskAnother(view, end.reason);
@@ -173,10 +172,9 @@
     return isFailure && this.routed.call.idempotent && this.maySendAgain();
   }
 
-  private mayFollowUnknown(view: GateView, end: AttemptEnd & { type: 'unknown' }): boolean {
+  private mayFollowUnknown(end: AttemptEnd & { type: 'unknown' }): boolean {
     if (this.last?.type !== 'answered') this.last = { type: 'unknown', reason: end.reason };
     if (end.reason === UnknownReason.Cancelled) return false;
-    this.options.members.find(view.memberId)?.avoid(AVOID_BROKEN_MS);
     return this.routed.call.idempotent && this.maySendAgain();
   }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -7,7 +7,7 @@
 import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
 import type { ConfigurationSource, MemberRegistry } from './CactusdealRelayPorts.js';
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
-import { createRetryAccount } from './CactusdealRelayRetryAccount.js';
+import { createRetryAccount, type RetryAccountOptions } from './CactusdealRelayRetryAccount.js';
 import { createRouter } from './CactusdealRelayRouter.js';
 import type { HeaderNames, Member, RelayConfiguration } from './CactusdealRelayTypes.js';
 import { createUpstreamLife, type UpstreamLife } from './CactusdealRelayUpstreamLife.js';
@@ -29,6 +29,7 @@
   readonly source: ConfigurationSource;
   readonly registry: MemberRegistry;
   readonly countLostLines: () => number;
+  readonly retry?: Omit<RetryAccountOptions, 'clock'>;
 }
 
 /** A running relay. */
@@ -45,9 +46,9 @@
 /** Sent again to another upstream for each call, and in reserve for each service. */
 const RETRY = { ratio: 0.08, reserve: 2, refillMs: 15_000 } as const;
 /** Time in which the callers on this host notice that it is not ready. */
-const NOTICE_MS = 3_000;
+const NOTICE_MS = 2_300;
 /** Time after the order to stop for which the gate still takes calls. */
-const GATE_OPEN_MS = 2_000;
+const GATE_OPEN_MS = 1_500;
 /** Part of the grace time after which nothing is waited for. */
 const GRACE_PART = 0.93;
 const IDLE_CHECK_MS = 50;
@@ -108,7 +109,7 @@
     clock,
     log,
   });
-  const account = createRetryAccount({ ...RETRY, clock });
+  const account = createRetryAccount({ ...RETRY, ...options.retry, clock });
   const router = createRouter({ self, gate, members, account, clock, random, log });
   const registration = createRegistration({ self, registry, random, log });
   let listener: LinkListener | undefined;
--- /dev/null
+++ b/packages/relay/src/__tests__/CactusdealRelayWorld.ts
@@ -0,0 +1,248 @@
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import { type AddressInfo, createServer as createNetServer } from 'node:net';
+import { Left, Right } from 'purify-ts';
+import { waitMs } from '@cactusdeal/shared';
+import type { ConfigurationSource, MemberRegistry } from '../CactusdealRelayPorts.js';
+import type { HeaderNames, Member, RelayConfiguration } from '../CactusdealRelayTypes.js';
+import { type Relay, startRelay } from '../CactusdealRelayWiring.js';
+
+export const NAMES: HeaderNames = {
+  callId: 'x-call',
+  deadline: 'x-left',
+  upstreamId: 'x-life',
+  callerService: 'x-from',
+  signature: 'x-signed',
+  notRun: 'x-not-run',
+};
+
+const PATIENCE_MS = 5_000;
+const POLL_MS = 5;
+
+/** Waits until the condition holds; throws when it does not for long. */
+export async function waitUntil(condition: () => boolean, what: string): Promise<void> {
+  const endMs = performance.now() + PATIENCE_MS;
+  while (!condition()) {
+    if (performance.now() > endMs) throw new Error(`never: ${what}`);
+    await waitMs(POLL_MS);
+  }
+}
+
+/** How a stand-in upstream answers one request. */
+export type Serve = (request_: IncomingMessage, response: ServerResponse) => void;
+
+/** An upstream with its daemon. */
+export interface Host {
+  readonly relay: Relay;
+  readonly entryAddress: string;
+  readonly id: string;
+  /** Requests that reached the upstream. */
+  readonly seen: IncomingMessage[];
+  serve: Serve;
+  beat(changes?: { state?: 'ready' | 'draining'; capacity?: number }): void;
+}
+
+/** Hosts that share one configuration and one list of members. */
+export interface World {
+  readonly hosts: readonly Host[];
+  publish(configuration: RelayConfiguration): void;
+  close(): Promise<void>;
+}
+
+/** Starts one host for each of the services, all in one data centre, linked and ready. */
+export async function startWorld(
+  configuration: RelayConfiguration,
+  services: readonly string[],
+): Promise<World> {
+  const members: Member[] = [];
+  const published = [configuration];
+  const source = createSource(published);
+  const registry = createRegistry(members);
+  const servers: Server[] = [];
+  const hosts = await Promise.all(
+    services.map((service, index) => startHost(service, index, source, registry, servers)),
+  );
+  hosts.forEach((host) => host.beat());
+  await waitUntil(() => hosts.every(({ relay }) => relay.isReady()), 'ready');
+  await Promise.all(hosts.map((host) => waitForGates(host, hosts)));
+  return {
+    hosts,
+    publish: (next) => published.push(next),
+    close: async () => {
+      await Promise.all(hosts.map(({ relay }) => relay.close()));
+      servers.forEach((server) => {
+        server.closeAllConnections();
+        server.close();
+      });
+    },
+  };
+}
+
+async function waitForGates(host: Host, hosts: readonly Host[]): Promise<void> {
+  let links = '';
+  while (!links.includes(`cactusdeal_links ${hosts.length - 1}`)) {
+    links = await host.relay.metrics.render();
+    await waitMs(POLL_MS);
+  }
+}
+
+async function startHost(
+  service: string,
+  index: number,
+  source: ConfigurationSource,
+  registry: MemberRegistry,
+  servers: Server[],
+): Promise<Host> {
+  const id = `d${index}`;
+  const seen: IncomingMessage[] = [];
+  const server = createServer((request_, response) => {
+    seen.push(request_);
+    host.serve(request_, response);
+  });
+  servers.push(server);
+  const upstreamAddress = await listen(server);
+  const [entryAddress = '', linkAddress = ''] = await Promise.all([findAddress(), findAddress()]);
+  const relay = await startRelay({
+    self: { id, dataCentre: 'west', address: linkAddress },
+    entryAddress,
+    upstreamAddress,
+    service,
+    heartbeatMs: 60_000,
+    graceMs: 300,
+    names: NAMES,
+    source,
+    registry,
+    countLostLines: () => 0,
+    retry: { ratio: 1, reserve: 100, refillMs: 1_000 },
+  });
+  let sequence = 0;
+  const host: Host = {
+    relay,
+    entryAddress,
+    id,
+    seen,
+    serve: answerPlainly,
+    beat: (changes = {}) => {
+      sequence += 1;
+      relay.life.receive({
+        id: `u${index}`,
+        service,
+        address: upstreamAddress,
+        capacity: 2,
+        state: 'ready',
+        startedAtMs: 1,
+        sequence,
+        warmupMs: 0,
+        ...changes,
+      });
+    },
+  };
+  return host;
+}
+
+/** Answers as a sound upstream does. */
+export function answerPlainly(request_: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(200, {
+    [NAMES.signature]: 'yes',
+    [NAMES.callId]: String(request_.headers[NAMES.callId]),
+  });
+  response.end(`life ${String(request_.headers[NAMES.upstreamId])}`);
+}
+
+function createSource(published: readonly RelayConfiguration[]): ConfigurationSource {
+  const list = (after: number): string[] =>
+    published.slice(after).map((_, index) => String(after + index));
+  return {
+    read: () => Promise.resolve(Right({ sources: list(0), revision: published.length })),
+    watch: async (revision, limitMs) => {
+      const endMs = performance.now() + limitMs;
+      while (published.length <= revision && performance.now() < endMs) await waitMs(POLL_MS);
+      return Right({ sources: list(revision), revision: published.length });
+    },
+    decode: (text) => {
+      const found = published[Number(text)];
+      return found === undefined
+        ? Left({ kind: 'ConfigurationInvalid', message: text })
+        : Right({ ...found, source: text });
+    },
+  };
+}
+
+function createRegistry(members: Member[]): MemberRegistry {
+  return {
+    register: (member) => {
+      members.push(member);
+      return Promise.resolve(Right(member.id));
+    },
+    renew: () => Promise.resolve(Right(undefined)),
+    revoke: () => Promise.resolve(Right(undefined)),
+    list: () => Promise.resolve(Right(members)),
+  };
+}
+
+function listen(server: Server): Promise<string> {
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    });
+  });
+}
+
+/** Finds an address that nobody listens at. */
+function findAddress(): Promise<string> {
+  return new Promise((resolve) => {
+    const server = createNetServer();
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+export interface CallOptions {
+  readonly method?: string;
+  readonly path?: string;
+  readonly host?: string;
+  readonly leftMs?: number;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+}
+
+/** Makes one call at a host's entry; rejects when the connection ends without an answer. */
+export function call({ entryAddress }: Host, options: CallOptions = {}): Promise<CallerAnswer> {
+  const { method = 'GET', path = '/', host = 'a.example', leftMs = 2_000, body, signal } = options;
+  return new Promise((resolve, reject) => {
+    const outgoing = request(
+      `http://${entryAddress}${path}`,
+      {
+        method,
+        agent: false,
+        headers: { host, [NAMES.callId]: 'c1', [NAMES.deadline]: String(leftMs) },
+        ...(signal === undefined ? {} : { signal }),
+      },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => {
+          const { statusCode = 0, headers } = response;
+          resolve({ status: statusCode, headers, body: Buffer.concat(chunks).toString() });
+        });
+        response.on('error', reject);
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end(body);
+  });
+}
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPath.test.ts
@@ -0,0 +1,234 @@
+import assert from 'node:assert/strict';
+import { after, before, beforeEach, describe, it } from 'node:test';
+import { buildConfiguration, buildRule } from '../CactusdealRelayFixtures.js';
+import {
+  answerPlainly,
+  call,
+  type CallOptions,
+  type Host,
+  NAMES,
+  type Serve,
+  startWorld,
+  waitUntil,
+  type World,
+} from '../CactusdealRelayWorld.js';
+
+const TIMEOUT_MS = 400;
+
+const routes = [
+  buildRule({ name: 'repeatable', prefix: '/', timeoutMs: TIMEOUT_MS }),
+  buildRule({ name: 'once', prefix: '/once/', idempotent: false, timeoutMs: TIMEOUT_MS }),
+];
+const configuration = { ...buildConfiguration(routes), services: new Set(['records', 'desk']) };
+
+const answerNotRun: Serve = (_, response) => {
+  response.writeHead(503, { [NAMES.notRun]: '1' }).end();
+};
+const answerFailed: Serve = (_, response) => {
+  response.writeHead(500, { [NAMES.signature]: 'yes' }).end('failed');
+};
+const answerUnavailable: Serve = (_, response) => {
+  response.writeHead(503, { [NAMES.signature]: 'yes' }).end('ran');
+};
+const answerUnsigned: Serve = (_, response) => {
+  response.writeHead(200).end('unsigned');
+};
+const answerOther: Serve = (_, response) => {
+  response.writeHead(200, { [NAMES.signature]: 'yes', [NAMES.callId]: 'c0' }).end('other');
+};
+const breakOff: Serve = (request) => request.socket.destroy();
+const stayAway: Serve = () => {};
+
+interface Case {
+  readonly name: string;
+  /** What the two upstreams of the service do, in the order in which they are reached. */
+  readonly upstreams: readonly Serve[];
+  readonly call: CallOptions;
+  readonly status: number;
+  readonly runs: number;
+}
+
+const cases: readonly Case[] = [
+  { name: 'a sound upstream', upstreams: [answerPlainly], call: {}, status: 200, runs: 1 },
+  { name: 'no route', upstreams: [], call: { host: 'b.example' }, status: 404, runs: 0 },
+  {
+    name: 'an upstream that turns it away',
+    upstreams: [answerNotRun, answerPlainly],
+    call: { path: '/once/' },
+    status: 200,
+    runs: 2,
+  },
+  {
+    name: 'two upstreams that turn it away',
+    upstreams: [answerNotRun, answerNotRun],
+    call: { path: '/once/' },
+    status: 503,
+    runs: 2,
+  },
+  {
+    name: 'a break while an idempotent call runs',
+    upstreams: [breakOff, answerPlainly],
+    call: {},
+    status: 200,
+    runs: 2,
+  },
+  {
+    name: 'a break while a call runs that may run once',
+    upstreams: [breakOff, answerPlainly],
+    call: { path: '/once/' },
+    status: 502,
+    runs: 1,
+  },
+  {
+    name: 'a failure of an idempotent call',
+    upstreams: [answerFailed, answerPlainly],
+    call: {},
+    status: 200,
+    runs: 2,
+  },
+  {
+    name: 'a failure of a call that may run once',
+    upstreams: [answerFailed, answerPlainly],
+    call: { path: '/once/' },
+    status: 500,
+    runs: 1,
+  },
+  {
+    name: 'an upstream that ran it and says it is unavailable',
+    upstreams: [answerUnavailable],
+    call: { path: '/once/' },
+    status: 502,
+    runs: 1,
+  },
+  {
+    name: 'a success that the upstream did not sign',
+    upstreams: [answerUnsigned],
+    call: { path: '/once/' },
+    status: 502,
+    runs: 1,
+  },
+  {
+    name: 'the answer to another call',
+    upstreams: [answerOther],
+    call: { path: '/once/' },
+    status: 502,
+    runs: 1,
+  },
+  {
+    name: 'an upstream that does not answer within the time of the route',
+    upstreams: [stayAway],
+    call: { path: '/once/' },
+    status: 504,
+    runs: 1,
+  },
+  {
+    name: 'an upstream that does not answer within the time of the caller',
+    upstreams: [stayAway],
+    call: { path: '/once/', leftMs: 100 },
+    status: 504,
+    runs: 1,
+  },
+];
+
+describe('path of a call', () => {
+  let world: World;
+  let caller: Host;
+  let upstreams: readonly Host[];
+
+  before(async () => {
+    world = await startWorld(configuration, ['desk', 'records', 'records']);
+    [caller, ...upstreams] = world.hosts as [Host, ...Host[]];
+  });
+  after(() => world.close());
+  beforeEach(() => {
+    upstreams.forEach((host) => host.seen.splice(0));
+  });
+
+  cases.forEach(({ name, upstreams: behaviours, call: options, status, runs }) => {
+    it(`ends with ${status} after ${name}`, async () => {
+      let reached = 0;
+      upstreams.forEach((held) => {
+        const host = held;
+        host.serve = (request, response) => {
+          const behave = behaviours[reached] ?? answerPlainly;
+          reached += 1;
+          behave(request, response);
+        };
+      });
+      const answer = await call(caller, options);
+      assert.equal(answer.status, status);
+      assert.equal(reached, runs);
+      assert.equal(answer.headers[NAMES.callId], 'c1');
+    });
+  });
+
+  it('names to the upstream its life, the service of the caller and the time that is left', async () => {
+    upstreams.forEach((held) => {
+      const host = held;
+      host.serve = answerPlainly;
+    });
+    await call(caller, { leftMs: 300 });
+    const [request] = upstreams.flatMap((host) => host.seen);
+    assert.equal(request?.headers[NAMES.callerService], 'desk');
+    assert.match(String(request?.headers[NAMES.upstreamId]), /^u[12]$/);
+    const leftMs = Number(request?.headers[NAMES.deadline]);
+    assert.ok(leftMs > 0 && leftMs <= 300, String(leftMs));
+  });
+
+  it('forwards the body as it came', async () => {
+    const bodies: string[] = [];
+    upstreams.forEach((held) => {
+      const host = held;
+      host.serve = (request, response) => {
+        request.on('data', (chunk: Buffer) => bodies.push(chunk.toString()));
+        request.on('end', () => answerPlainly(request, response));
+      };
+    });
+    const body = 'x'.repeat(5_000);
+    await call(caller, { method: 'PUT', path: '/once/', body });
+    assert.equal(bodies.join(''), body);
+  });
+
+  it('closes the connection to the upstream when the caller leaves', async () => {
+    let isClosed = false;
+    const leave = new AbortController();
+    upstreams.forEach((held) => {
+      const host = held;
+      host.serve = (request) => {
+        request.socket.on('close', () => {
+          isClosed = true;
+        });
+        leave.abort();
+      };
+    });
+    await assert.rejects(call(caller, { signal: leave.signal }));
+    await waitUntil(() => isClosed, 'the upstream is told');
+  });
+
+  it('sends nothing to an upstream that is draining', async () => {
+    const [first, second] = upstreams as [Host, Host];
+    upstreams.forEach((held) => {
+      const host = held;
+      host.serve = answerPlainly;
+    });
+    first.beat({ state: 'draining' });
+    const answers = await Promise.all([1, 2, 3, 4].map(() => call(caller, { path: '/once/' })));
+    assert.deepEqual(
+      answers.map(({ status }) => status).filter((status) => status !== 200 && status !== 503),
+      [],
+    );
+    assert.equal(first.seen.length, 0);
+    assert.ok(second.seen.length > 0);
+  });
+
+  it('takes a new version into force and never an older one', async () => {
+    const moved = { ...buildConfiguration([buildRule({ host: 'c.example' })], 3) };
+    world.publish({ ...moved, services: configuration.services });
+    await waitUntil(() => caller.relay.getConfiguration()?.version === 3, 'version 3');
+    world.publish({ ...configuration, version: 2 });
+    world.publish({ ...moved, services: configuration.services, version: 4 });
+    await waitUntil(() => caller.relay.getConfiguration()?.version === 4, 'version 4');
+    assert.equal((await call(caller, {})).status, 404);
+    assert.equal((await call(caller, { host: 'c.example' })).status, 200);
+  });
+});
