Let nested calls wait until their deadline; refuse what its deadline, not its target, rules out

Approvals have a target (1,500 ms) beyond their route's time (1,200 ms), so that the queue let in what ended unanswered. Change: a call is let in by when its answer has to be expected: the least of target and deadline, for a nested call 0.8 of its deadline. A call is nested when its id names one that the upstream on that host runs. Ruled out: the highest priority for nested calls, which would put photographs behind a catalogue. Test: CactusdealRelayAdmission.test.ts.

--- a/packages/relay/src/CactusdealRelayAdmission.ts
+++ b/packages/relay/src/CactusdealRelayAdmission.ts
@@ -9,6 +9,8 @@
   readonly targetAtMs: number;
   /** When its answer is no longer wanted, by the queue's clock. */
   readonly deadlineAtMs: number;
+  /** When its answer has to be expected for it to be let in, by the queue's clock. */
+  readonly admitUntilMs: number;
 }
 
 /** What becomes of a call on its arrival. */
@@ -81,8 +83,8 @@
     }
     const waitMs = computeWaitMs(call);
     const endMs = nowMs + waitMs + times.estimate(call.kind) * PROMISE_PART;
-    if (capacity === 0 || endMs > call.targetAtMs) {
-      const excessMs = endMs - call.targetAtMs;
+    if (capacity === 0 || endMs > call.admitUntilMs) {
+      const excessMs = endMs - call.admitUntilMs;
       return { type: 'refuse', retryAfterMs: Math.max(LEAST_RETRY_MS, Math.min(excessMs, waitMs)) };
     }
     addWaiting(call);
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -31,6 +31,8 @@
   readonly router: Router;
   readonly clock: Clock;
   readonly log: Log;
+  /** Whether the upstream on this host runs the call of this id. */
+  readonly isRunning: (callId: string) => boolean;
   readonly recordCall: (record: CallRecord) => void;
 }
 
@@ -188,11 +190,17 @@
         priority: rule.priority,
         kind: route.kind,
         idempotent: rule.idempotent,
+        isNested: this.isNested(id),
       },
     });
     return this.limitRun(request.socket, run, startedAtMs + limitMs);
   }
 
+  private isNested(id: string | undefined): boolean {
+    const parentId = id === undefined ? undefined : this.options.names.parseParentId(id);
+    return parentId !== undefined && this.options.isRunning(parentId);
+  }
+
   private limitRun(socket: Socket, run: RoutedRun, deadlineAtMs: number): Promise<RoutedEnd> {
     const cancels = this.runs.get(socket);
     return new Promise((resolve) => {
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -27,6 +27,8 @@
   /** Takes in what the upstream last told of itself; undefined when it is not known. */
   setUpstream(upstream: Upstream | undefined): void;
   getReport(): GateReport;
+  /** Whether the upstream runs the call of this id. */
+  isRunning(callId: string): boolean;
   /** Refuses what waits and what comes; what runs goes on. */
   drain(): void;
   close(): void;
@@ -54,6 +56,8 @@
 
 /** How long a gate stays closed after no connection to its upstream could be had. */
 const UNREACHABLE_MS = 300;
+/** Part of the time left in which a nested call has to be expected to end. */
+const NESTED_PART = 0.8;
 const FAILURE_WEIGHT = 0.05;
 const SWEEP_MS = 25;
 const SERVER_ERROR = 500;
@@ -80,6 +84,8 @@
 
   private failureRate = 0;
 
+  private readonly runningIds = new Set<string>();
+
   private sweep: NodeJS.Timeout | undefined;
 
   public constructor(private readonly options: GateOptions) {
@@ -99,6 +105,7 @@
       priority: call.priority,
       targetAtMs: nowMs + call.targetMs,
       deadlineAtMs: nowMs + call.remainingMs,
+      admitUntilMs: nowMs + computeAdmissionMs(call),
       arrivedAtMs: nowMs,
       settle,
       state: 'waiting',
@@ -133,16 +140,21 @@
     const { call } = waiting;
     const upstream = this.upstream as Upstream;
     const startedAtMs = this.options.clock();
+    const id = findField(call.headers, this.options.names.callId);
+    if (id !== undefined) this.runningIds.add(id);
     const request = this.pool.send({
       method: call.method,
       path: call.path,
       headers: this.buildHeaders(call, upstream, waiting.deadlineAtMs - startedAtMs),
       body: call.body,
-      id: findField(call.headers, this.options.names.callId),
+      id,
     });
     waiting.state = 'running';
     waiting.running = request;
-    void request.end.then((end) => this.finishRun(waiting, upstream, end, startedAtMs));
+    void request.end.then((end) => {
+      if (id !== undefined) this.runningIds.delete(id);
+      this.finishRun(waiting, upstream, end, startedAtMs);
+    });
   }
 
   private buildHeaders(call: GateCall, upstream: Upstream, remainingMs: number): string[] {
@@ -278,6 +290,10 @@
     };
   }
 
+  public isRunning(callId: string): boolean {
+    return this.runningIds.has(callId);
+  }
+
   public drain(): void {
     this.isDraining = true;
     this.admission.setCapacity(0);
@@ -299,6 +315,11 @@
   waiting.settle(end);
 }
 
+/** Time within which the answer has to be expected for a call to be let in, in milliseconds. */
+function computeAdmissionMs({ isNested, remainingMs, targetMs }: GateCall): number {
+  return isNested ? remainingMs * NESTED_PART : Math.min(targetMs, remainingMs);
+}
+
 /** A success without the upstream's signature was not made by it. */
 function isOwnAnswer(answer: Answer, names: HeaderNames): boolean {
   const isSuccess = answer.status >= 200 && answer.status < 300;
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -102,6 +102,8 @@
   /** Calls of one kind take alike long in the upstream. */
   readonly kind: string;
   readonly idempotent: boolean;
+  /** Whether a call that runs waits for this one, so that refusing it wastes that one's work. */
+  readonly isNested: boolean;
 }
 
 /** A whole answer of an upstream. */
@@ -178,6 +180,8 @@
   readonly signature: string;
   /** Present in an answer by which an upstream says that it did not run the request. */
   readonly notRun: string;
+  /** Id of the call that an upstream was running when it made this one; undefined when it tells none. */
+  readonly parseParentId: (callId: string) => string | undefined;
 }
 
 export function buildNotRun(
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -25,6 +25,7 @@
     call.priority,
     call.kind,
     call.idempotent,
+    call.isNested,
   ];
 }
 
@@ -42,6 +43,7 @@
     priority: message[9] as number,
     kind: message[10] as string,
     idempotent: message[11] as boolean,
+    isNested: message[12] as boolean,
   };
 }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -137,6 +137,7 @@
     router,
     clock,
     log,
+    isRunning: (callId) => gate.isRunning(callId),
     recordCall: metrics.recordCall,
   });
   void configurations.run(members);
--- a/packages/relay/src/__tests__/CactusdealRelayWorld.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayWorld.ts
@@ -19,6 +19,7 @@
   callerService: 'x-from',
   signature: 'x-signed',
   notRun: 'x-not-run',
+  parseParentId: (callId) => callId.split('.')[0],
 };
 
 const PATIENCE_MS = 5_000;
@@ -221,7 +222,7 @@
 }
 
 /** Makes one call at a host's entry; rejects when the connection ends without an answer. */
-export function call({ entryAddress }: Host, options: CallOptions = {}): Promise<CallerAnswer> {
+export function sendCall({ entryAddress }: Host, options: CallOptions = {}): Promise<CallerAnswer> {
   const { method = 'GET', path = '/', host = 'a.example', leftMs = 2_000, body, signal } = options;
   return new Promise((resolve, reject) => {
     const outgoing = request(
--- a/packages/relay/src/__tests__/unit/CactusdealRelayAdmission.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayAdmission.test.ts
@@ -14,7 +14,8 @@
 }
 
 function buildApplicant(changes: Partial<Applicant> = {}): Applicant {
-  return { kind: 'kind', priority: 1, targetAtMs: 500, deadlineAtMs: 1_000, ...changes };
+  const applicant = { kind: 'kind', priority: 1, targetAtMs: 500, deadlineAtMs: 1_000, ...changes };
+  return { admitUntilMs: applicant.targetAtMs, ...applicant };
 }
 
 interface Case {
@@ -51,6 +52,13 @@
     call: {},
     expected: 'refuse',
   },
+  {
+    name: 'lets wait what others wait for until its deadline',
+    capacity: 1,
+    before: [{}, {}, {}, {}],
+    call: { admitUntilMs: 900 },
+    expected: 'wait',
+  },
   {
     name: 'lets urgent work wait where other work is refused',
     capacity: 1,
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPath.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPath.test.ts
@@ -3,7 +3,7 @@
 import { buildConfiguration, buildRule } from '../CactusdealRelayFixtures.js';
 import {
   answerPlainly,
-  call,
+  sendCall,
   type CallOptions,
   type Host,
   NAMES,
@@ -155,7 +155,7 @@
           behave(request, response);
         };
       });
-      const answer = await call(caller, options);
+      const answer = await sendCall(caller, options);
       assert.equal(answer.status, status);
       assert.equal(reached, runs);
       assert.equal(answer.headers[NAMES.callId], 'c1');
@@ -167,7 +167,7 @@
       const host = held;
       host.serve = answerPlainly;
     });
-    await call(caller, { leftMs: 300 });
+    await sendCall(caller, { leftMs: 300 });
     const [request] = upstreams.flatMap((host) => host.seen);
     assert.equal(request?.headers[NAMES.callerService], 'desk');
     assert.match(String(request?.headers[NAMES.upstreamId]), /^u[12]$/);
@@ -185,7 +185,7 @@
       };
     });
     const body = 'x'.repeat(5_000);
-    await call(caller, { method: 'PUT', path: '/once/', body });
+    await sendCall(caller, { method: 'PUT', path: '/once/', body });
     assert.equal(bodies.join(''), body);
   });
 
@@ -201,7 +201,7 @@
         leave.abort();
       };
     });
-    await assert.rejects(call(caller, { signal: leave.signal }));
+    await assert.rejects(sendCall(caller, { signal: leave.signal }));
     await waitUntil(() => isClosed, 'the upstream is told');
   });
 
@@ -212,7 +212,7 @@
       host.serve = answerPlainly;
     });
     first.beat({ state: 'draining' });
-    const answers = await Promise.all([1, 2, 3, 4].map(() => call(caller, { path: '/once/' })));
+    const answers = await Promise.all([1, 2, 3, 4].map(() => sendCall(caller, { path: '/once/' })));
     assert.deepEqual(
       answers.map(({ status }) => status).filter((status) => status !== 200 && status !== 503),
       [],
@@ -228,7 +228,7 @@
     world.publish({ ...configuration, version: 2 });
     world.publish({ ...moved, services: configuration.services, version: 4 });
     await waitUntil(() => caller.relay.getConfiguration()?.version === 4, 'version 4');
-    assert.equal((await call(caller, {})).status, 404);
-    assert.equal((await call(caller, { host: 'c.example' })).status, 200);
+    assert.equal((await sendCall(caller, {})).status, 404);
+    assert.equal((await sendCall(caller, { host: 'c.example' })).status, 200);
   });
 });
