Refuse calls that come late in a stop, so that none is cut off

Change: from 0.46 of the grace time on the entry refuses as not run with a time to come back; the times of a stop are parts of the grace time. Ruled out: closing the listener, which tells callers nothing. Test: CactusdealRelayStop.test.ts, failed before with no refusal.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -19,6 +19,8 @@
   countCalls(): number;
   /** Tells callers to leave with their next answer. */
   drain(): void;
+  /** Refuses calls that come from now on. */
+  refuseCalls(): void;
   close(): void;
 }
 
@@ -55,6 +57,7 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 const MAX_DEADLINE_MS = 600_000;
 const NO_CONFIGURATION_RETRY_MS = 300;
+const STOPPING_RETRY_MS = 300;
 const MS_PER_SECOND = 1_000;
 
 /** Starts listening; rejects when the address is taken. */
@@ -81,6 +84,8 @@
 
   private isDraining = false;
 
+  private isRefusing = false;
+
   public constructor(private readonly options: EntryOptions) {
     const { deadline, upstreamId, callerService } = options.names;
     this.dropped = new Set([deadline, upstreamId, callerService]);
@@ -137,6 +142,11 @@
     const { names, clock, getRoutes, recordCall } = this.options;
     const id = findField(request.rawHeaders, names.callId);
     const body = await readBody(request, this.maxBodyBytes);
+    if (this.isRefusing) {
+      const reason = NotRunReason.Stopping;
+      this.refuse(response, id, { type: 'not-run', reason, retryAfterMs: STOPPING_RETRY_MS });
+      return;
+    }
     const routes = getRoutes();
     if (routes === undefined) {
       const reason = NotRunReason.NoConfiguration;
@@ -317,6 +327,10 @@
     this.isDraining = true;
   }
 
+  public refuseCalls(): void {
+    this.isRefusing = true;
+  }
+
   public close(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -131,6 +131,8 @@
   /** The time was over before it could start. */
   Expired: 'expired',
   Cancelled: 'cancelled',
+  /** This daemon is about to end. */
+  Stopping: 'stopping',
   /** Calls like it crash upstreams. */
   Quarantined: 'quarantined',
 } as const;
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -45,13 +45,18 @@
 
 /** Sent again to another upstream for each call, and in reserve for each service. */
 const RETRY = { ratio: 0.08, reserve: 2, refillMs: 15_000 } as const;
-/** Time in which the callers on this host notice that it is not ready. */
-const NOTICE_MS = 2_300;
-/** Time after the order to stop for which the gate still takes calls. */
-const GATE_OPEN_MS = 1_500;
-/** Part of the grace time after which nothing is waited for. */
-const GRACE_PART = 0.93;
-const IDLE_CHECK_MS = 50;
+/** Parts of the grace time of a stop, in their order. */
+const StopPart = {
+  /** The gate takes calls until then. */
+  GateOpen: 0.25,
+  /** Callers have noticed by then; an idle daemon ends. */
+  Noticed: 0.38,
+  /** Calls are taken until then, so that the last of them ends in time. */
+  CallsTaken: 0.46,
+  /** Nothing is waited for after that. */
+  End: 0.93,
+} as const;
+const IDLE_CHECK_MS = 25;
 /** Time after the start for which links to others are waited for. */
 const LINK_WAIT_MS = 1_200;
 
@@ -154,22 +159,24 @@
     },
     close: async () => {
       isStopping = true;
-      await closeParts(parts, options.graceMs * GRACE_PART, clock);
+      await closeParts(parts, options.graceMs, clock);
     },
   };
 }
 
 /** The order matters: callers leave first, then the gate shuts, then what runs ends. */
-async function closeParts(parts: Parts, limitMs: number, clock: Clock): Promise<void> {
+async function closeParts(parts: Parts, graceMs: number, clock: Clock): Promise<void> {
   const { gate, entry, listener, members, configurations, registration, life, log } = parts;
   const stoppedAtMs = clock();
   log.info('stopping', { calls: entry.countCalls(), served: listener.countCalls() });
   entry.drain();
-  await waitMs(Math.min(GATE_OPEN_MS, limitMs / 2));
+  await waitMs(graceMs * StopPart.GateOpen);
   gate.drain();
-  while (clock() - stoppedAtMs < limitMs) {
+  for (;;) {
+    const elapsed = (clock() - stoppedAtMs) / graceMs;
     const isIdle = entry.countCalls() + listener.countCalls() === 0;
-    if (isIdle && clock() - stoppedAtMs >= NOTICE_MS) break;
+    if (elapsed >= StopPart.End || (isIdle && elapsed >= StopPart.Noticed)) break;
+    if (elapsed >= StopPart.CallsTaken) entry.refuseCalls();
     await waitMs(IDLE_CHECK_MS);
   }
   configurations.close();
--- a/packages/relay/src/__tests__/CactusdealRelayWorld.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayWorld.ts
@@ -22,6 +22,9 @@
   parseParentId: (callId) => callId.split('.')[0],
 };
 
+/** Time that a host's daemon has to stop, in milliseconds. */
+export const GRACE_MS = 400;
+
 const PATIENCE_MS = 5_000;
 const POLL_MS = 5;
 
@@ -114,7 +117,7 @@
     upstreamAddress,
     service,
     heartbeatMs: 60_000,
-    graceMs: 300,
+    graceMs: GRACE_MS,
     names: NAMES,
     source,
     registry,
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayStop.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { buildConfiguration, buildRule } from '../CactusdealRelayFixtures.js';
+import {
+  type CallerAnswer,
+  GRACE_MS,
+  type Host,
+  sendCall,
+  startWorld,
+  waitUntil,
+} from '../CactusdealRelayWorld.js';
+
+const configuration = buildConfiguration([buildRule({ idempotent: false, timeoutMs: 5_000 })]);
+
+describe('stop of a daemon', () => {
+  it('answers a call that runs when the order comes', async () => {
+    const world = await startWorld(configuration, ['desk', 'records']);
+    const [caller, upstream] = world.hosts as [Host, Host];
+    let answer: () => void = () => {};
+    const { serve } = upstream;
+    upstream.serve = (request, response) => {
+      answer = () => serve(request, response);
+    };
+    const running = sendCall(caller);
+    await waitUntil(() => upstream.seen.length === 1, 'the call runs');
+    const closed = caller.relay.close();
+    assert.equal(caller.relay.isReady(), false);
+    answer();
+    const { status, headers } = await running;
+    assert.equal(status, 200);
+    assert.equal(headers.connection, 'close');
+    await closed;
+    await world.close();
+  });
+
+  it('refuses as not run what comes too late to be answered, and cuts nothing off', async () => {
+    const world = await startWorld(configuration, ['desk', 'records']);
+    const [caller, upstream] = world.hosts as [Host, Host];
+    let last: () => void = () => {};
+    const { serve } = upstream;
+    upstream.serve = (request, response) => {
+      last = () => serve(request, response);
+    };
+    const held = sendCall(caller);
+    await waitUntil(() => upstream.seen.length === 1, 'the call runs');
+    upstream.serve = serve;
+    const closed = caller.relay.close();
+    const answers: CallerAnswer[] = [];
+    await waitUntil(() => {
+      void sendCall(caller).then((answer) => answers.push(answer));
+      return answers.some(({ status }) => status === 503);
+    }, `a refusal within ${GRACE_MS} ms`);
+    const refused = answers.find(({ status }) => status === 503);
+    assert.ok(Number(refused?.headers['retry-after']) > 0);
+    last();
+    assert.equal((await held).status, 200);
+    await closed;
+    await world.close();
+  });
+});
