Refuse waiting calls as soon as later, more urgent work has overtaken them

Change: after each new waiting call, and every 25 ms, the expected end of each is computed from those before it; what cannot end in time is refused while it has waited little. Two gates are asked for room, not three; what a gate told of its load fades over 1 s, not 0.4 s. Ruled out: keeping late work, which takes slots from work in time. Test: CactusdealRelayAdmission.test.ts, two cases, failed before.

--- a/packages/relay/src/CactusdealRelayAdmission.ts
+++ b/packages/relay/src/CactusdealRelayAdmission.ts
@@ -32,8 +32,8 @@
   release(): void;
   /** The next call for a free slot; undefined when none is free or nobody waits. */
   takeNext(nowMs: number): T | undefined;
-  /** Takes out the calls that cannot be answered any more before they are unwanted. */
-  takeHopeless(nowMs: number): readonly T[];
+  /** Takes out the calls that can no longer be expected to be answered in time. */
+  takeUnmeetable(nowMs: number): readonly T[];
   /** Takes one call out, whose caller went away; false when it does not wait. */
   remove(call: T): boolean;
   /** Takes all out that wait. */
@@ -46,6 +46,8 @@
 const LEAST_SERVICE_PART = 0.35;
 /** Part of the expected time that is taken as reserve when a place in the queue is promised. */
 const PROMISE_PART = 1.1;
+/** The same for a call that waits already; below the reserve, so that small errors cost no place. */
+const KEPT_PART = 0.7;
 const LEAST_RETRY_MS = 30;
 
 export function createAdmission<T extends Applicant>(times: ServiceTimes): Admission<T> {
@@ -58,7 +60,7 @@
       running -= 1;
     },
     takeNext,
-    takeHopeless,
+    takeUnmeetable,
     remove: (call) => {
       const index = waiting.indexOf(call);
       if (index >= 0) waiting.splice(index, 1);
@@ -122,10 +124,19 @@
     return nowMs + times.estimate(call.kind) * LEAST_SERVICE_PART >= call.deadlineAtMs;
   }
 
-  function takeHopeless(nowMs: number): readonly T[] {
-    const hopeless = waiting.filter((call) => isHopeless(call, nowMs));
-    if (hopeless.length > 0) waiting = waiting.filter((call) => !hopeless.includes(call));
-    return hopeless;
+  /** More urgent work that came later may have taken the time that a waiting call was let in for. */
+  function takeUnmeetable(nowMs: number): readonly T[] {
+    const unmeetable: T[] = [];
+    let aheadMs = running < capacity ? 0 : times.getMean();
+    waiting = waiting.filter((call) => {
+      const serviceMs = times.estimate(call.kind);
+      const endMs = nowMs + aheadMs / Math.max(1, capacity) + serviceMs * KEPT_PART;
+      const isKept = endMs <= call.admitUntilMs;
+      if (isKept) aheadMs += serviceMs;
+      else unmeetable.push(call);
+      return isKept;
+    });
+    return unmeetable;
   }
 }
 
--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -35,7 +35,7 @@
 /** The same for the most urgent work, which is worth more than the bytes of a longer way. */
 const URGENT_TARGET_PART = 0.4;
 /** Load told by another entry's traffic fades, as it was answered meanwhile, in milliseconds. */
-const LOAD_HALF_LIFE_MS = 400;
+const LOAD_HALF_LIFE_MS = 1_000;
 const FAILURE_PENALTY = 3;
 
 /**
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -60,6 +60,7 @@
 const NESTED_PART = 0.8;
 const FAILURE_WEIGHT = 0.05;
 const SWEEP_MS = 25;
+const OVERTAKEN_RETRY_MS = 100;
 const SERVER_ERROR = 500;
 const SHED_STATUSES: ReadonlySet<number> = new Set([400, 421, 429, 503]);
 const MISDIRECTED = 421;
@@ -122,9 +123,14 @@
       return;
     }
     const verdict = this.admission.admit(waiting, nowMs);
-    if (verdict.type === 'start') this.start(waiting);
-    else if (verdict.type === 'wait') this.startSweep();
-    else finish(waiting, buildNotRun(NotRunReason.Busy, verdict.retryAfterMs));
+    if (verdict.type === 'start') {
+      this.start(waiting);
+    } else if (verdict.type === 'wait') {
+      this.refuseUnmeetable(nowMs);
+      this.startSweep();
+    } else {
+      finish(waiting, buildNotRun(NotRunReason.Busy, verdict.retryAfterMs));
+    }
   }
 
   /** Why the upstream gets no new call; undefined when it does. */
@@ -221,7 +227,7 @@
 
   private startNext(): void {
     const nowMs = this.options.clock();
-    this.refuseHopeless(nowMs);
+    this.refuseUnmeetable(nowMs);
     for (;;) {
       const next = this.admission.takeNext(nowMs);
       if (next === undefined) return;
@@ -229,9 +235,9 @@
     }
   }
 
-  private refuseHopeless(nowMs: number): void {
-    this.admission.takeHopeless(nowMs).forEach((call) => {
-      finish(call, buildNotRun(NotRunReason.Expired));
+  private refuseUnmeetable(nowMs: number): void {
+    this.admission.takeUnmeetable(nowMs).forEach((call) => {
+      finish(call, buildNotRun(NotRunReason.Overtaken, OVERTAKEN_RETRY_MS));
     });
   }
 
@@ -239,7 +245,7 @@
     if (this.sweep !== undefined) return;
     this.sweep = setTimeout(() => {
       this.sweep = undefined;
-      this.refuseHopeless(this.options.clock());
+      this.refuseUnmeetable(this.options.clock());
       if (this.admission.getLoad().waiting > 0) this.startSweep();
     }, SWEEP_MS);
   }
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -57,7 +57,7 @@
 }
 
 /** Gates that one call may ask for room; each refusal costs it time. */
-const MAX_BUSY_GATES = 3;
+const MAX_BUSY_GATES = 2;
 /** Part of the target after which no further gate is asked for room. */
 const SEARCH_PART = 0.125;
 const NO_UPSTREAM_RETRY_MS = 250;
@@ -190,7 +190,7 @@
       this.options.members.find(view.memberId)?.avoid(AVOID_CLOSED_MS);
       return true;
     }
-    if (reason !== NotRunReason.Busy) return false;
+    if (reason !== NotRunReason.Busy && reason !== NotRunReason.Overtaken) return false;
     this.busyGates += 1;
     const { startedAtMs, targetAtMs } = this.routed;
     const searchedMs = this.options.clock() - startedAtMs;
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -124,6 +124,8 @@
   Closed: 'closed',
   /** It would be answered too late. */
   Busy: 'busy',
+  /** More urgent work took the time that it was let in for. */
+  Overtaken: 'overtaken',
   /** The upstream itself turned it away. */
   Shed: 'shed',
   /** No connection to the gate or the upstream could be had. */
--- a/packages/relay/src/__tests__/unit/CactusdealRelayAdmission.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayAdmission.test.ts
@@ -106,13 +106,26 @@
     assert.equal(admission.takeNext(0), undefined);
   });
 
-  it('gives back what cannot be answered any more', () => {
+  it('gives back what cannot be expected in time any more', () => {
     const admission = buildAdmission(1);
     admission.admit(buildApplicant(), 0);
     const call = buildApplicant();
     admission.admit(call, 0);
-    assert.deepEqual(admission.takeHopeless(900), []);
-    assert.deepEqual(admission.takeHopeless(990), [call]);
+    assert.deepEqual(admission.takeUnmeetable(300), []);
+    assert.deepEqual(admission.takeUnmeetable(400), [call]);
+  });
+
+  it('gives back at once what later, more urgent work has overtaken', () => {
+    const admission = buildAdmission(1);
+    admission.admit(buildApplicant(), 0);
+    const calls = [buildApplicant(), buildApplicant(), buildApplicant()];
+    assert.deepEqual(
+      calls.map((call) => admission.admit(call, 0).type),
+      ['wait', 'wait', 'wait'],
+    );
+    admission.admit(buildApplicant({ priority: 0 }), 0);
+    admission.admit(buildApplicant({ priority: 0 }), 0);
+    assert.deepEqual(admission.takeUnmeetable(0), [calls[2]]);
   });
 });
 
