--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -31,8 +31,10 @@
 /** Round trip to another data centre, in milliseconds. */
 const REMOTE_MS = 8;
 /** Part of the target by which an answer from the own data centre has to be expected. */
-const LOCAL_TARGET_PART = 0.9;
-/** The same for the most urgent work, which is worth more than the bytes of a longer way. */
+const LOCAL_TARGET_PART = 1;
+/** The same for another data centre, whose load is known less well. */
+const REMOTE_TARGET_PART = 0.8;
+/** The part for the own data centre and the most urgent work, which is worth more than the bytes of a longer way. */
 const URGENT_TARGET_PART = 0.4;
 /** Load told by another entry's traffic fades, as it was answered meanwhile, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 1_000;
@@ -58,7 +60,7 @@
   const remote = findSoonest(open, input, (gate) => gate.dataCentre !== input.dataCentre);
   if (remote === undefined) return local?.gate;
   if (local === undefined) return remote.gate;
-  const isWorthIt = remote.answerMs <= input.targetMs && remote.answerMs < local.answerMs;
+  const isWorthIt = remote.answerMs <= input.targetMs * REMOTE_TARGET_PART && remote.answerMs < local.answerMs;
   return isWorthIt ? remote.gate : local.gate;
 }
 
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -302,7 +302,8 @@
     extra: readonly string[] = [],
   ): void {
     const { names, log } = this.options;
-    log.info('call-refused', { call: id, status, reason });
+    const version = this.options.getRoutes()?.version;
+    log.info('call-refused', { call: id, status, reason, version });
     const headers = id === undefined ? [...extra] : [...extra, names.callId, id];
     this.write(response, status, headers, NO_BODY);
   }
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -119,7 +119,7 @@
   private admit(waiting: Waiting, nowMs: number): void {
     const closed = this.findClosed(waiting.call.service, nowMs);
     if (closed !== undefined) {
-      finish(waiting, buildNotRun(closed));
+      this.refuse(waiting, closed);
       return;
     }
     const verdict = this.admission.admit(waiting, nowMs);
@@ -129,10 +129,28 @@
       this.refuseUnmeetable(nowMs);
       this.startSweep();
     } else {
-      finish(waiting, buildNotRun(NotRunReason.Busy, verdict.retryAfterMs));
+      this.refuse(waiting, NotRunReason.Busy, verdict.retryAfterMs);
     }
   }
 
+  private refuse(waiting: Waiting, reason: NotRunReason, retryAfterMs = 0): void {
+    const { log, names, clock } = this.options;
+    const { running, waiting: queued } = this.admission.getLoad();
+    log.info('gate-refused', {
+      call: findField(waiting.call.headers, names.callId),
+      reason,
+      upstream: this.upstream?.id,
+      state: this.upstream?.state ?? 'unknown',
+      capacity: this.upstream?.capacity,
+      running,
+      waiting: queued,
+      serviceMs: Math.round(this.times.estimate(waiting.kind)),
+      targetMs: Math.round(waiting.targetAtMs - clock()),
+      waitedMs: Math.round(clock() - waiting.arrivedAtMs),
+    });
+    finish(waiting, buildNotRun(reason, retryAfterMs));
+  }
+
   /** Why the upstream gets no new call; undefined when it does. */
   private findClosed(service: string, nowMs: number): NotRunReason | undefined {
     const { upstream } = this;
@@ -201,7 +219,8 @@
     if (result.type === 'broken' || !isOwnAnswer(result.answer, names)) {
       this.recordFailure(1);
       const message = result.type === 'broken' ? result.message : 'an answer without a signature';
-      log.warn('upstream-broken', { upstream: upstream.id, message, serviceMs });
+      const call = findField(waiting.call.headers, names.callId);
+      log.warn('upstream-broken', { call, upstream: upstream.id, message, serviceMs });
       return { type: 'unknown', reason: UnknownReason.Broken };
     }
     const { answer } = result;
@@ -237,7 +256,7 @@
 
   private refuseUnmeetable(nowMs: number): void {
     this.admission.takeUnmeetable(nowMs).forEach((call) => {
-      finish(call, buildNotRun(NotRunReason.Overtaken, OVERTAKEN_RETRY_MS));
+      this.refuse(call, NotRunReason.Overtaken, OVERTAKEN_RETRY_MS);
     });
   }
 
@@ -279,7 +298,7 @@
   }
 
   private refuseWaiting(): void {
-    this.admission.clear().forEach((call) => finish(call, buildNotRun(NotRunReason.Closed)));
+    this.admission.clear().forEach((call) => this.refuse(call, NotRunReason.Closed));
   }
 
   public getReport(): GateReport {
