Choose gates by the time that calls of their kind were seen to take

Change: an entry keeps, for each gate, the time of each kind in the upstream and the overhead of way and daemon, calls given up among it; both fade. Ruled out: serving nested calls before the most urgent work, which is worth twice as much for its slot time.

--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -11,6 +11,10 @@
   readonly unreported: number;
   /** The entry gives it no calls before this time. */
   readonly avoidedUntilMs: number;
+  /** Expected time in the upstream for the kind of call, in milliseconds. */
+  readonly serviceMs: number;
+  /** Time that the way and the daemon were seen to take besides, in milliseconds. */
+  readonly overheadMs: number;
 }
 
 /** What a choice depends on. */
@@ -60,7 +64,8 @@
   const remote = findSoonest(open, input, (gate) => gate.dataCentre !== input.dataCentre);
   if (remote === undefined) return local?.gate;
   if (local === undefined) return remote.gate;
-  const isWorthIt = remote.answerMs <= input.targetMs * REMOTE_TARGET_PART && remote.answerMs < local.answerMs;
+  const isWorthIt =
+    remote.answerMs <= input.targetMs * REMOTE_TARGET_PART && remote.answerMs < local.answerMs;
   return isWorthIt ? remote.gate : local.gate;
 }
 
@@ -85,15 +90,16 @@
 
 /** Time until the gate would have answered, in milliseconds, a little randomized. */
 export function computeAnswerMs(gate: GateView, input: ChoiceInput): number {
-  const { report } = gate;
+  const { report, serviceMs } = gate;
   const ageMs = input.nowMs - gate.reportedAtMs;
   const faded = report.load * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
   const load = faded + gate.unreported;
   const capacity = Math.max(1, report.capacity);
   const waitMs = Math.max(0, load + 1 - capacity) * (report.serviceMs / capacity);
-  const crowding = (load / capacity) * report.serviceMs * 0.1;
+  const crowding = (load / capacity) * serviceMs * 0.1;
   const failing = 1 + FAILURE_PENALTY * report.failureRate;
   const distanceMs = gate.dataCentre === input.dataCentre ? 0 : REMOTE_MS;
+  const wayMs = Math.max(distanceMs, gate.overheadMs);
   const noise = 1 + 0.05 * input.random();
-  return (report.serviceMs * failing + waitMs + crowding + distanceMs) * noise;
+  return (serviceMs * failing + waitMs + crowding + wayMs) * noise;
 }
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -27,6 +27,8 @@
   /** Takes in what the upstream last told of itself; undefined when it is not known. */
   setUpstream(upstream: Upstream | undefined): void;
   getReport(): GateReport;
+  /** Expected time of a call of the kind in the upstream, in milliseconds. */
+  estimateServiceMs(kind: string): number;
   /** Whether the upstream runs the call of this id. */
   isRunning(callId: string): boolean;
   /** Refuses what waits and what comes; what runs goes on. */
@@ -227,7 +229,8 @@
     if (isTurnedAway(answer, names)) return this.takeTurnedAway(upstream, answer);
     this.recordFailure(answer.status >= SERVER_ERROR ? 1 : 0);
     this.times.record(waiting.kind, serviceMs);
-    return { type: 'answered', answer, serviceMs };
+    const queuedMs = clock() - serviceMs - waiting.arrivedAtMs;
+    return { type: 'answered', answer, serviceMs, queuedMs };
   }
 
   private takeTurnedAway(upstream: Upstream, answer: Answer): AttemptEnd {
@@ -315,6 +318,10 @@
     };
   }
 
+  public estimateServiceMs(kind: string): number {
+    return this.times.estimate(kind);
+  }
+
   public isRunning(callId: string): boolean {
     return this.runningIds.has(callId);
   }
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -12,7 +12,8 @@
   replace(listed: readonly Member[]): void;
   find(id: string): Peer | undefined;
   list(): readonly Peer[];
-  listGates(service: string): readonly GateView[];
+  /** Gates of the service, with what is expected of them for a kind of call. */
+  listGates(service: string, kind: string): readonly GateView[];
   countConnected(): number;
   close(): void;
 }
@@ -39,11 +40,11 @@
     },
     find: (id) => peers.get(id),
     list: () => [...peers.values()],
-    listGates: (service) => {
+    listGates: (service, kind) => {
       const views: GateView[] = [];
       peers.forEach((peer) => {
-        const view = peer.getView();
-        if (view?.report.service === service) views.push(view);
+        const view = peer.getService() === service ? peer.getView(kind) : undefined;
+        if (view !== undefined) views.push(view);
       });
       return views;
     },
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -7,6 +7,7 @@
   type Message,
   MessageKind,
 } from './CactusdealRelayFrames.js';
+import { createGatePace, type GatePace } from './CactusdealRelayGatePace.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -32,7 +33,9 @@
   readonly member: Member;
   isConnected(): boolean;
   /** Undefined while the gate is not known. */
-  getView(): GateView | undefined;
+  getView(kind: string): GateView | undefined;
+  /** Service of the gate; undefined while the gate is not known. */
+  getService(): string | undefined;
   /** What the peer last said of itself, with the time of that by this daemon's clock. */
   getStatus(): (Status & { readonly atMs: number }) | undefined;
   send(call: GateCall): Attempt;
@@ -53,6 +56,8 @@
 }
 
 interface Pending {
+  readonly kind: string;
+  readonly sentAtMs: number;
   settle(end: AttemptEnd): void;
 }
 
@@ -91,6 +96,8 @@
 
   private avoidedUntilMs = 0;
 
+  private readonly pace: GatePace;
+
   private status: (Status & { readonly atMs: number }) | undefined;
 
   private heardAtMs = 0;
@@ -101,6 +108,7 @@
 
   public constructor(private readonly options: PeerOptions) {
     this.member = options.member;
+    this.pace = createGatePace(options.clock);
     void this.run();
   }
 
@@ -108,12 +116,19 @@
     return this.socket !== undefined;
   }
 
-  public getView(): GateView | undefined {
+  public getService(): string | undefined {
+    return this.socket === undefined ? undefined : this.report?.service;
+  }
+
+  public getView(kind: string): GateView | undefined {
     if (this.socket === undefined || this.report === undefined) return undefined;
     const { id, dataCentre } = this.member;
     const { report, reportedAtMs, unreported } = this;
     const avoidedUntilMs = this.isDoubtful() ? Infinity : this.avoidedUntilMs;
-    return { memberId: id, dataCentre, report, reportedAtMs, unreported, avoidedUntilMs };
+    const serviceMs = this.pace.getServiceMs(kind) ?? report.serviceMs;
+    const overheadMs = this.pace.getOverheadMs();
+    const known = { memberId: id, dataCentre, report, reportedAtMs, unreported };
+    return { ...known, avoidedUntilMs, serviceMs, overheadMs };
   }
 
   public getStatus(): (Status & { readonly atMs: number }) | undefined {
@@ -233,7 +248,12 @@
     const pending = this.pending.get(id);
     if (pending === undefined) return;
     this.pending.delete(id);
-    pending.settle(parseEnd(message));
+    const end = parseEnd(message);
+    if (end.type === 'answered') {
+      const elapsedMs = this.options.clock() - pending.sentAtMs;
+      this.pace.recordAnswer(pending.kind, elapsedMs, end.serviceMs, end.queuedMs);
+    }
+    pending.settle(end);
   }
 
   private takeReport(report: GateReport): void {
@@ -254,7 +274,8 @@
     const id = this.nextId;
     this.nextId += 1;
     const end = new Promise<AttemptEnd>((resolve) => {
-      this.pending.set(id, { settle: resolve });
+      const { clock } = this.options;
+      this.pending.set(id, { kind: call.kind, sentAtMs: clock(), settle: resolve });
     });
     if (this.pending.size === 1) this.heardAtMs = this.options.clock();
     this.unreported += 1;
@@ -266,6 +287,7 @@
     const pending = this.pending.get(id);
     if (pending === undefined) return;
     this.pending.delete(id);
+    this.pace.recordGivenUp(pending.kind, this.options.clock() - pending.sentAtMs);
     this.write([MessageKind.Cancel, id]);
     pending.settle({ type: 'unknown', reason: UnknownReason.Cancelled });
   }
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -118,8 +118,8 @@
 
   private choose(nowMs: number): GateView | undefined {
     const { self, gate, members, random } = this.options;
-    const { service } = this.routed.call;
-    const gates = [...members.listGates(service)];
+    const { service, kind } = this.routed.call;
+    const gates = [...members.listGates(service, kind)];
     const report = gate.getReport();
     if (report.service === service) {
       gates.push({
@@ -129,6 +129,8 @@
         reportedAtMs: nowMs,
         unreported: 0,
         avoidedUntilMs: 0,
+        serviceMs: gate.estimateServiceMs(kind),
+        overheadMs: 0,
       });
     }
     return chooseGate({
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -153,7 +153,14 @@
 
 /** How one attempt ended. */
 export type AttemptEnd =
-  | { readonly type: 'answered'; readonly answer: Answer; readonly serviceMs: number }
+  | {
+      readonly type: 'answered';
+      readonly answer: Answer;
+      /** Time in the upstream, in milliseconds. */
+      readonly serviceMs: number;
+      /** Wait for a slot, in milliseconds. */
+      readonly queuedMs: number;
+    }
   | {
       readonly type: 'not-run';
       readonly reason: NotRunReason;
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -52,8 +52,8 @@
   const { load, failureRate } = report;
   if (end.type === 'answered') {
     const { status, headers, body } = end.answer;
-    const serviceMs = Math.round(end.serviceMs);
-    return [MessageKind.Answer, id, load, failureRate, status, headers, body, serviceMs];
+    const times = [Math.round(end.serviceMs), Math.round(end.queuedMs)];
+    return [MessageKind.Answer, id, load, failureRate, status, headers, body, ...times];
   }
   if (end.type === 'unknown') return [MessageKind.Unknown, id, load, failureRate, end.reason];
   const retryAfterMs = Math.round(end.retryAfterMs);
@@ -69,7 +69,12 @@
       headers: message[5] as string[],
       body: message[6] as Uint8Array,
     };
-    return { type: 'answered', answer, serviceMs: message[7] as number };
+    return {
+      type: 'answered',
+      answer,
+      serviceMs: message[7] as number,
+      queuedMs: message[8] as number,
+    };
   }
   if (message[0] === MessageKind.Unknown) {
     return { type: 'unknown', reason: message[4] as never };
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -50,6 +50,8 @@
     reportedAtMs: 0,
     unreported: 0,
     avoidedUntilMs: 0,
+    serviceMs: changes.report?.serviceMs ?? 100,
+    overheadMs: 0,
     ...changes,
     report: {
       service: 'records',
--- a/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
@@ -65,6 +65,11 @@
     gates: [near({ report: { failureRate: 1 } }), near({ memberId: 'sound' })],
     expected: 'sound',
   },
+  {
+    name: 'passes over a gate whose daemon is slow though its upstream is not',
+    gates: [near({ overheadMs: 400 }), near({ memberId: 'quick' })],
+    expected: 'quick',
+  },
   {
     name: 'takes the faster of two in one data centre',
     gates: [near({ report: { serviceMs: 300 } }), near({ memberId: 'fast' })],
