--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -60,7 +60,7 @@
 const MAX_BUSY_GATES = 2;
 /** Part of the target after which no further gate is asked for room. */
 const SEARCH_PART = 0.125;
-const NO_UPSTREAM_RETRY_MS = 250;
+const NO_UPSTREAM_RETRY_MS = 400;
 const AVOID_CLOSED_MS = 150;
 const SERVER_ERROR = 500;
 const TIMEOUT_STATUS = 504;
--- a/packages/relay/src/CactusdealRelayUpstreamLife.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamLife.ts
@@ -15,6 +15,8 @@
   /** Time between heartbeats, in milliseconds. */
   readonly heartbeatMs: number;
   readonly clock: Clock;
+  /** Unix milliseconds. */
+  readonly wallClock: Clock;
   readonly log: Log;
   readonly observe: (upstream: Upstream | undefined) => void;
 }
@@ -22,10 +24,13 @@
 /** Heartbeats that may fail to come before the upstream is taken to be dead. */
 const MISSED_HEARTBEATS = 4;
 const CHECK_MS = 500;
+const MAX_ENDED = 64;
 
 export function createUpstreamLife(options: UpstreamLifeOptions): UpstreamLife {
-  const { clock, log, observe } = options;
+  const { clock, wallClock, log, observe } = options;
   let current: Upstream | undefined;
+  /** Latest start, in Unix milliseconds, of the lives that have ended under an id. */
+  const endedStarts = new Map<string, number>();
   let heardAtMs = clock();
   let isSilent = false;
   const timer = setInterval(checkSilence, CHECK_MS);
@@ -37,9 +42,10 @@
   };
 
   function receive(heartbeat: Heartbeat): boolean {
-    if (current !== undefined && !isNewer(heartbeat, current)) {
+    const isEnded = heartbeat.startedAtMs <= (endedStarts.get(heartbeat.id) ?? -1);
+    if (isEnded || (current !== undefined && !isNewer(heartbeat, current))) {
       const { id, sequence, state } = heartbeat;
-      log.info('heartbeat-outdated', { upstream: id, sequence, state, known: current.id });
+      log.info('heartbeat-outdated', { upstream: id, sequence, state, known: current?.id });
       return false;
     }
     heardAtMs = clock();
@@ -49,12 +55,20 @@
   }
 
   function receiveEnd(id: string, startedAtMs: number | undefined): boolean {
+    recordEnd(id, startedAtMs ?? wallClock());
     if (current?.id !== id) return false;
     if (startedAtMs !== undefined && startedAtMs !== current.startedAtMs) return false;
     settle({ ...current, state: 'gone' });
     return true;
   }
 
+  /** The end may be told to a daemon that has just started and knows no life yet. */
+  function recordEnd(id: string, startedAtMs: number): void {
+    endedStarts.set(id, Math.max(startedAtMs, endedStarts.get(id) ?? 0));
+    const [oldest] = endedStarts.keys();
+    if (endedStarts.size > MAX_ENDED && oldest !== undefined) endedStarts.delete(oldest);
+  }
+
   function settle(next: Upstream): void {
     current = next;
     observe(next);
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -1,4 +1,11 @@
-import { type Clock, createLog, getMonotonicMs, type Log, waitMs } from '@cactusdeal/shared';
+import {
+  type Clock,
+  createLog,
+  getMonotonicMs,
+  getWallTimeMs,
+  type Log,
+  waitMs,
+} from '@cactusdeal/shared';
 import { createConfigurations, type Configurations } from './CactusdealRelayConfigurations.js';
 import { type Entry, startEntry } from './CactusdealRelayEntry.js';
 import { createGate, type Gate } from './CactusdealRelayGate.js';
@@ -91,6 +98,7 @@
   const life = createUpstreamLife({
     heartbeatMs: options.heartbeatMs,
     clock,
+    wallClock: getWallTimeMs,
     log,
     observe: gate.setUpstream.bind(gate),
   });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUpstreamLife.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUpstreamLife.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { isNewer } from '../../CactusdealRelayUpstreamLife.js';
+import { createSilentLog } from '@cactusdeal/shared';
+import { createUpstreamLife, isNewer } from '../../CactusdealRelayUpstreamLife.js';
 import type { Upstream } from '../../CactusdealRelayTypes.js';
 import { buildUpstream } from '../CactusdealRelayFixtures.js';
 
@@ -35,3 +36,44 @@
     });
   });
 });
+
+interface EndCase {
+  readonly name: string;
+  /** Start that the end named; undefined when it named none. */
+  readonly start: number | undefined;
+  /** Start of the heartbeat that comes after the end. */
+  readonly next: number;
+  readonly isTaken: boolean;
+}
+
+const NOW_MS = 5_000;
+
+const ends: readonly EndCase[] = [
+  { name: 'a late heartbeat of the same life', start: 1_000, next: 1_000, isTaken: false },
+  { name: 'a later life', start: 1_000, next: 1_001, isTaken: true },
+  {
+    name: 'a late heartbeat when no start was named',
+    start: undefined,
+    next: 1_000,
+    isTaken: false,
+  },
+  { name: 'a later life when no start was named', start: undefined, next: 6_000, isTaken: true },
+];
+
+describe('end of a life that the daemon did not know', () => {
+  ends.forEach(({ name, start, next, isTaken }) => {
+    it(`${isTaken ? 'lets in' : 'keeps out'} ${name}`, () => {
+      const life = createUpstreamLife({
+        heartbeatMs: 1_000,
+        clock: () => 0,
+        wallClock: () => NOW_MS,
+        log: createSilentLog(),
+        observe: () => {},
+      });
+      life.receiveEnd('u1', start);
+      const heartbeat = { ...buildUpstream({ startedAtMs: next }), address: '127.0.0.1:1' };
+      assert.equal(life.receive(heartbeat), isTaken);
+      life.close();
+    });
+  });
+});
