Keep one parser of addresses; drop fields that decide nothing

Cause: mesh and relay each split HOST:PORT; the relay carried a warm-up time, an own id and a refusal that nothing read. Change: parseAddress stands in shared; the unused fields are gone.

--- a/packages/mesh/src/CactusdealMeshConnection.ts
+++ b/packages/mesh/src/CactusdealMeshConnection.ts
@@ -1,6 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import type { HelloMessage } from '@cactusdeal/schema';
-import { FailureError, formatCaught } from '@cactusdeal/shared';
+import { FailureError, formatCaught, parseAddress } from '@cactusdeal/shared';
 import { createMeshFailure, type MeshFailure, MeshFailureKind } from './CactusdealMeshFailure.js';
 import { encodeFrame, readFrames } from './CactusdealMeshFrame.js';
 import { type MeshMessage, parseMessage } from './CactusdealMeshMessages.js';
@@ -124,13 +124,6 @@
   });
 }
 
-/** Splits an address such as `10.0.0.1:4000` or `[::1]:4000`. */
-export function parseAddress(address: string): { readonly host: string; readonly port: number } {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(colon + 1)) };
-}
-
 /**
  * Waits for the peer's hello.
  *
--- a/packages/mesh/src/CactusdealMeshListener.ts
+++ b/packages/mesh/src/CactusdealMeshListener.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type Socket } from 'node:net';
-import { parseAddress } from './CactusdealMeshConnection.js';
+import { parseAddress } from '@cactusdeal/shared';
 
 /** A bound TCP listener. */
 export interface Listener {
--- a/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
+++ b/packages/mesh/src/__tests__/unit/CactusdealMeshFixture.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { connect } from 'node:net';
-import { createSeededRandom, createSilentLog, waitMs } from '@cactusdeal/shared';
+import { createSeededRandom, createSilentLog, parseAddress, waitMs } from '@cactusdeal/shared';
 import { createMeshNode, type MeshNode } from '../../CactusdealMesh.js';
-import { parseAddress } from '../../CactusdealMeshConnection.js';
 import { readFrames } from '../../CactusdealMeshFrame.js';
 import type { MeshOptions } from '../../CactusdealMeshOptions.js';
 import { createCountingState } from '../../bench/CactusdealMeshBenchState.js';
--- a/packages/mesh/src/bench/CactusdealMeshBenchHub.ts
+++ b/packages/mesh/src/bench/CactusdealMeshBenchHub.ts
@@ -1,6 +1,6 @@
 import { createServer, type Socket } from 'node:net';
-import { waitMs } from '@cactusdeal/shared';
-import { openSocket, parseAddress } from '../CactusdealMeshConnection.js';
+import { parseAddress, waitMs } from '@cactusdeal/shared';
+import { openSocket } from '../CactusdealMeshConnection.js';
 import { encodeFrame, readFrames } from '../CactusdealMeshFrame.js';
 
 /** What one hub costs that sends every change as a whole snapshot to every daemon. */
--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -21,7 +21,6 @@
 export interface ChoiceInput {
   readonly gates: readonly GateView[];
   readonly dataCentre: string;
-  readonly ownId: string;
   /** Gates that this call has been at, by member id. */
   readonly tried: ReadonlySet<string>;
   /** 0 is the most urgent. */
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -1,8 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Clock, Log } from '@cactusdeal/shared';
+import { type Clock, type Log, parseAddress } from '@cactusdeal/shared';
 import { findField, selectEndToEnd } from './CactusdealRelayHeaders.js';
-import { splitAddress } from './CactusdealRelayPeer.js';
 import type { RoutedEnd, RoutedRun, Router } from './CactusdealRelayRouter.js';
 import type { CompiledRoute, RouteTable } from './CactusdealRelayRoutes.js';
 import {
@@ -99,7 +98,7 @@
   }
 
   public listen(): Promise<void> {
-    const { host, port } = splitAddress(this.options.address);
+    const { host, port } = parseAddress(this.options.address);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, 1024, () => resolve());
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type Socket } from 'node:net';
-import { formatCaught, type Log } from '@cactusdeal/shared';
+import { formatCaught, type Log, parseAddress } from '@cactusdeal/shared';
 import {
   createMessageReader,
   encodeMessage,
@@ -7,7 +7,6 @@
   MessageKind,
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
-import { splitAddress } from './CactusdealRelayPeer.js';
 import type { Attempt, Member } from './CactusdealRelayTypes.js';
 import {
   parseCall,
@@ -157,7 +156,7 @@
 }
 
 function startListening(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
+  const { host, port } = parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -1,5 +1,5 @@
 import { connect, type Socket } from 'node:net';
-import { type Clock, formatCaught, type Log, waitMs } from '@cactusdeal/shared';
+import { type Clock, formatCaught, type Log, parseAddress, waitMs } from '@cactusdeal/shared';
 import type { GateView } from './CactusdealRelayBalancer.js';
 import {
   createMessageReader,
@@ -148,7 +148,7 @@
   }
 
   private serveLink(): Promise<string> {
-    const { host, port } = splitAddress(this.member.address);
+    const { host, port } = parseAddress(this.member.address);
     const socket = connect({ host, port, noDelay: true });
     return new Promise((resolve) => {
       let reason = 'closed by the peer';
@@ -308,9 +308,3 @@
     this.stop.abort();
   }
 }
-
-/** Splits `IP:PORT`. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -136,7 +136,6 @@
     return chooseGate({
       gates,
       dataCentre: self.dataCentre,
-      ownId: self.id,
       tried: this.tried,
       priority: this.routed.call.priority,
       targetMs: this.routed.targetAtMs - nowMs,
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -55,8 +55,6 @@
   readonly startedAtMs: number;
   /** Rises with each heartbeat of one life. */
   readonly sequence: number;
-  /** How much longer it is slow after its start, in milliseconds. */
-  readonly warmupMs: number;
 }
 
 /** What an upstream tells of itself. */
@@ -135,8 +133,6 @@
   Cancelled: 'cancelled',
   /** This daemon is about to end. */
   Stopping: 'stopping',
-  /** Calls like it crash upstreams. */
-  Quarantined: 'quarantined',
 } as const;
 export type NotRunReason = (typeof NotRunReason)[keyof typeof NotRunReason];
 
--- a/packages/relay/src/CactusdealRelayUpstream.ts
+++ b/packages/relay/src/CactusdealRelayUpstream.ts
@@ -1,8 +1,7 @@
 import { connect, type Socket } from 'node:net';
-import type { Clock } from '@cactusdeal/shared';
+import { type Clock, parseAddress } from '@cactusdeal/shared';
 import { Client, type Dispatcher } from 'undici';
 import { findField } from './CactusdealRelayHeaders.js';
-import { splitAddress } from './CactusdealRelayPeer.js';
 import type { Answer } from './CactusdealRelayTypes.js';
 
 /** A request as it goes to the upstream beside this daemon. */
@@ -152,7 +151,7 @@
   callback: (...result: [Error, null] | [null, Socket]) => void,
 ): void {
   const state = held;
-  const { host, port } = splitAddress(address);
+  const { host, port } = parseAddress(address);
   const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
   const timer = setTimeout(() => socket.destroy(new Error('timeout')), CONNECT_TIMEOUT_MS);
   let isOpen = false;
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -34,7 +34,6 @@
     state: 'ready',
     startedAtMs: 1_000,
     sequence: 1,
-    warmupMs: 0,
     ...changes,
   };
 }
--- a/packages/relay/src/__tests__/CactusdealRelayWorld.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayWorld.ts
@@ -141,7 +141,6 @@
         state: 'ready',
         startedAtMs: 1,
         sequence,
-        warmupMs: 0,
         ...changes,
       });
     },
--- a/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
@@ -83,7 +83,6 @@
       const chosen = chooseGate({
         gates,
         dataCentre: 'west',
-        ownId: 'self',
         tried: new Set(),
         priority: 1,
         targetMs: 500,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,5 +1,4 @@
 export { findField } from './CactusdealRelayHeaders.js';
-export { splitAddress } from './CactusdealRelayPeer.js';
 export {
   type ConfigurationReading,
   type ConfigurationSource,
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export { type Address, parseAddress } from './CactusdealSharedAddress.js';
 export { type Channel, createChannel } from './CactusdealSharedChannel.js';
 export { type Failure, FailureError, formatCaught } from './CactusdealSharedFailure.js';
 export { InvariantError, invariant } from './CactusdealSharedInvariant.js';
