Refuse calls before the last steps of a stop

Change: calls are refused as not run from the moment at which the daemon is found idle, and what came just before is waited for. Ruled out: closing at once, which leaves the entry in the list of members. Test: CactusdealRelayStop.test.ts, 'answers or refuses what comes while it gives its lease back', failed before with a connection cut off.

--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -187,8 +187,13 @@
     if (elapsed >= StopPart.CallsTaken) entry.refuseCalls();
     await waitMs(IDLE_CHECK_MS);
   }
+  entry.refuseCalls();
   configurations.close();
   await Promise.race([registration.close(), waitMs(IDLE_CHECK_MS)]);
+  // What came between the last check and the refusals still ends in time.
+  while (entry.countCalls() > 0 && (clock() - stoppedAtMs) / graceMs < StopPart.End) {
+    await waitMs(IDLE_CHECK_MS);
+  }
   log.info('stopped', { calls: entry.countCalls(), served: listener.countCalls() });
   entry.close();
   members.close();
--- a/packages/relay/src/__tests__/CactusdealRelayWorld.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayWorld.ts
@@ -55,6 +55,8 @@
 export interface World {
   readonly hosts: readonly Host[];
   publish(configuration: RelayConfiguration): void;
+  /** Runs when a daemon gives its lease back. */
+  observeRevoke: () => void;
   close(): Promise<void>;
 }
 
@@ -66,7 +68,7 @@
   const members: Member[] = [];
   const published = [configuration];
   const source = createSource(published);
-  const registry = createRegistry(members);
+  const registry = createRegistry(members, () => world.observeRevoke());
   const servers: Server[] = [];
   const hosts = await Promise.all(
     services.map((service, index) => startHost(service, index, source, registry, servers)),
@@ -74,8 +76,9 @@
   hosts.forEach((host) => host.beat());
   await waitUntil(() => hosts.every(({ relay }) => relay.isReady()), 'ready');
   await Promise.all(hosts.map((host) => waitForGates(host, hosts)));
-  return {
+  const world: World = {
     hosts,
+    observeRevoke: () => {},
     publish: (next) => published.push(next),
     close: async () => {
       await Promise.all(hosts.map(({ relay }) => relay.close()));
@@ -85,6 +88,7 @@
       });
     },
   };
+  return world;
 }
 
 async function waitForGates(host: Host, hosts: readonly Host[]): Promise<void> {
@@ -176,14 +180,17 @@
   };
 }
 
-function createRegistry(members: Member[]): MemberRegistry {
+function createRegistry(members: Member[], observeRevoke: () => void): MemberRegistry {
   return {
     register: (member) => {
       members.push(member);
       return Promise.resolve(Right(member.id));
     },
     renew: () => Promise.resolve(Right(undefined)),
-    revoke: () => Promise.resolve(Right(undefined)),
+    revoke: () => {
+      observeRevoke();
+      return new Promise(() => {});
+    },
     list: () => Promise.resolve(Right(members)),
   };
 }
--- a/packages/relay/src/__tests__/unit/CactusdealRelayStop.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayStop.test.ts
@@ -10,6 +10,9 @@
   waitUntil,
 } from '../CactusdealRelayWorld.js';
 
+/** Longer than what is left of a stop after the lease. */
+const SERVICE_MS = 40;
+
 const configuration = buildConfiguration([buildRule({ idempotent: false, timeoutMs: 5_000 })]);
 
 describe('stop of a daemon', () => {
@@ -33,6 +36,22 @@
     await world.close();
   });
 
+  it('answers or refuses what comes while it gives its lease back', async () => {
+    const world = await startWorld(configuration, ['desk', 'records']);
+    const [caller, upstream] = world.hosts as [Host, Host];
+    const { serve } = upstream;
+    upstream.serve = (request, response) => {
+      setTimeout(() => serve(request, response), 2 * SERVICE_MS);
+    };
+    let last: Promise<CallerAnswer> | undefined;
+    world.observeRevoke = () => {
+      last ??= sendCall(caller);
+    };
+    await caller.relay.close();
+    assert.ok([200, 503].includes((await last)?.status ?? 0));
+    await world.close();
+  });
+
   it('refuses as not run what comes too late to be answered, and cuts nothing off', async () => {
     const world = await startWorld(configuration, ['desk', 'records']);
     const [caller, upstream] = world.hosts as [Host, Host];
