Read cancellations that have arrived before calls are started

Change: a call is held until the event loop has read all that has arrived; a cancellation in the same turn takes it out. Also: limits of a configuration that came before the entry listens are set when it does. Ruled out: comparing clocks of two daemons, which differ. Test: CactusdealRelayLinkListener.test.ts; its two cases with cancellations fail when calls start at once.

--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -7,7 +7,7 @@
   MessageKind,
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
-import type { Attempt, Member } from './CactusdealRelayTypes.js';
+import type { Attempt, GateCall, Member } from './CactusdealRelayTypes.js';
 import {
   parseCall,
   parseHello,
@@ -42,6 +42,8 @@
 interface Accepted {
   readonly socket: Socket;
   readonly calls: Map<number, Attempt>;
+  /** Calls that were read in this turn of the event loop and may still be cancelled in it. */
+  readonly unserved: Map<number, GateCall>;
   isLocal: boolean;
 }
 
@@ -92,7 +94,7 @@
 }
 
 function acceptLink(options: LinkListenerOptions, links: Set<Accepted>, socket: Socket): void {
-  const link: Accepted = { socket, calls: new Map(), isLocal: false };
+  const link: Accepted = { socket, calls: new Map(), unserved: new Map(), isLocal: false };
   links.add(link);
   const read = createMessageReader((message) => receive(options, link, message));
   socket.on('data', (chunk: Buffer) => {
@@ -108,6 +110,7 @@
   });
   socket.on('close', () => {
     links.delete(link);
+    link.unserved.clear();
     link.calls.forEach((attempt) => attempt.cancel());
   });
 }
@@ -124,10 +127,10 @@
       break;
     }
     case MessageKind.Call:
-      serveCall(options, link, message);
+      holdCall(options, link, message);
       break;
     case MessageKind.Cancel:
-      link.calls.get(message[1] as number)?.cancel();
+      cancelCall(link, message[1] as number);
       break;
     case MessageKind.Ping:
       write(link, [MessageKind.Pong]);
@@ -141,9 +144,32 @@
   }
 }
 
-function serveCall({ gate }: LinkListenerOptions, link: Accepted, message: Message): void {
-  const id = message[1] as number;
-  const attempt = gate.serve(parseCall(message));
+/**
+ * Holds a call until all that has arrived is read. After a delay of the link or of this daemon, calls
+ * arrive together with their cancellations, and must not reach the upstream before those are read.
+ */
+function holdCall(options: LinkListenerOptions, link: Accepted, message: Message): void {
+  if (link.unserved.size === 0) setImmediate(serveCalls, options, link);
+  link.unserved.set(message[1] as number, parseCall(message));
+}
+
+function serveCalls(options: LinkListenerOptions, link: Accepted): void {
+  const calls = [...link.unserved];
+  link.unserved.clear();
+  calls.forEach(([id, call]) => serveCall(options, link, id, call));
+}
+
+function cancelCall(link: Accepted, id: number): void {
+  if (!link.unserved.delete(id)) link.calls.get(id)?.cancel();
+}
+
+function serveCall(
+  { gate }: LinkListenerOptions,
+  link: Accepted,
+  id: number,
+  call: GateCall,
+): void {
+  const attempt = gate.serve(call);
   link.calls.set(id, attempt);
   void attempt.end.then((end) => {
     link.calls.delete(id);
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -153,6 +153,8 @@
     isRunning: (callId) => gate.isRunning(callId),
     recordCall: metrics.recordCall,
   });
+  const limits = configurations.get()?.limits;
+  if (limits !== undefined) entry.setLimits(limits);
   void configurations.run(members);
   void registration.run(members);
   log.info('started', { entry: options.entryAddress, dataCentre: self.dataCentre });
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { connect, createServer, type AddressInfo } from 'node:net';
+import { describe, it } from 'node:test';
+import { createSilentLog, parseAddress } from '@cactusdeal/shared';
+import {
+  createMessageReader,
+  encodeMessage,
+  type Message,
+  MessageKind,
+} from '../../CactusdealRelayFrames.js';
+import type { Gate } from '../../CactusdealRelayGate.js';
+import { startLinkListener } from '../../CactusdealRelayLinkListener.js';
+import { buildNotRun, type GateCall, NotRunReason } from '../../CactusdealRelayTypes.js';
+import { toCallMessage } from '../../CactusdealRelayWire.js';
+import { buildGateView } from '../CactusdealRelayFixtures.js';
+import { waitUntil } from '../CactusdealRelayWorld.js';
+
+const PING: Message = [MessageKind.Ping];
+
+const buildCall = (path: string): GateCall => ({
+  service: 'records',
+  method: 'GET',
+  path,
+  headers: [],
+  body: undefined,
+  remainingMs: 1_000,
+  targetMs: 500,
+  priority: 1,
+  kind: 'kind',
+  idempotent: true,
+  isNested: false,
+});
+
+interface Case {
+  readonly name: string;
+  /** Messages that arrive together. */
+  readonly messages: readonly Message[];
+  /** Paths of the calls that the gate gets. */
+  readonly served: readonly string[];
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'a call',
+    messages: [toCallMessage(1, buildCall('/a'))],
+    served: ['/a'],
+  },
+  {
+    name: 'a call that is cancelled in the same breath',
+    messages: [toCallMessage(1, buildCall('/a')), [MessageKind.Cancel, 1]],
+    served: [],
+  },
+  {
+    name: 'one of two that is cancelled',
+    messages: [
+      toCallMessage(1, buildCall('/a')),
+      toCallMessage(2, buildCall('/b')),
+      [MessageKind.Cancel, 1],
+    ],
+    served: ['/b'],
+  },
+];
+
+describe('calls that arrive over a link', () => {
+  cases.forEach(({ name, messages, served }) => {
+    it(`serves ${served.length} after ${name}`, async () => {
+      const paths: string[] = [];
+      const address = await findAddress();
+      const listener = await startLinkListener({
+        self: { id: 'd1', dataCentre: 'west', address },
+        gate: createRecordingGate(paths),
+        getStatus: () => ({ version: 1, platformAgeMs: 0 }),
+        getConfigurationSource: () => undefined,
+        receiveMember: () => {},
+        log: createSilentLog(),
+      });
+      const received: Message[] = [];
+      const socket = connect(parseAddress(address));
+      socket.on(
+        'data',
+        createMessageReader((message) => received.push(message)),
+      );
+      socket.write(Buffer.concat([...messages, PING].map((message) => encodeMessage(message))));
+      await waitUntil(() => received.some(([kind]) => kind === MessageKind.Pong), 'all is read');
+      await waitUntil(() => paths.length >= served.length, 'served');
+      assert.deepEqual(paths, served);
+      socket.destroy();
+      await listener.close();
+    });
+  });
+});
+
+function createRecordingGate(paths: string[]): Gate {
+  return {
+    serve: (call) => {
+      paths.push(call.path);
+      return { end: Promise.resolve(buildNotRun(NotRunReason.Closed)), cancel: () => {} };
+    },
+    setUpstream: () => {},
+    getReport: () => buildGateView().report,
+    estimateServiceMs: () => 0,
+    isRunning: () => false,
+    drain: () => {},
+    close: () => {},
+  };
+}
+
+function findAddress(): Promise<string> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+}
