Wait until an abandoned call has left its slot, in place of reading the gauge at once

The entry's answer does not wait for that, and need not. Change: the slot still has to be given back, within two seconds. Ruled out: a leaked slot, which the wait would find.

--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficFaults.test.ts
+++ b/packages/traffic/src/__tests__/unit/CactusdealTrafficFaults.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { afterEach, describe, it } from 'node:test';
+import { waitMs } from '@cactusdeal/shared';
 import { createNotRun } from '../../CactusdealTrafficRefusal.js';
 import { RefusalKind } from '../../CactusdealTrafficTypes.js';
 import {
@@ -12,6 +13,9 @@
   type TestUpstream,
 } from '../CactusdealTrafficFixtures.js';
 
+const PATIENCE_MS = 2_000;
+const POLL_MS = 5;
+
 const KEYED: TestCall = { method: 'POST', body: 'approve', headers: { 'idempotency-key': 'k' } };
 const APPROVAL = '/records/approvals';
 const LOOKUP = '/records/1';
@@ -202,7 +206,7 @@
       assert.deepEqual(runs, example.runs);
       if (example.claims !== undefined) assert.deepEqual(gates[0].claims.events, example.claims);
       for (const gate of gates) {
-        assert.equal(await readGauge(gate, 'cactusdeal_gate_slots_in_use'), 0);
+        await waitForGauge(gate, 'cactusdeal_gate_slots_in_use', 0);
       }
     });
   }
@@ -300,6 +304,18 @@
   });
 });
 
+/**
+ * Waits until the gauge has the value; fails when it never does. The gate hears of an abandoned call
+ * by its connection, after the caller already has the entry's answer.
+ */
+async function waitForGauge(daemon: TestDaemon, name: string, wanted: number): Promise<void> {
+  const endMs = performance.now() + PATIENCE_MS;
+  while ((await readGauge(daemon, name)) !== wanted && performance.now() < endMs) {
+    await waitMs(POLL_MS);
+  }
+  assert.equal(await readGauge(daemon, name), wanted);
+}
+
 async function readGauge(daemon: TestDaemon, name: string): Promise<number> {
   const metric = await daemon.registry.getSingleMetric(name)?.get();
   return metric?.values[0]?.value ?? Number.NaN;
