--- a/packages/relay/src/__tests__/CactusdealRelayWorld.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayWorld.ts
@@ -204,7 +204,7 @@
 }
 
 /** Finds an address that nobody listens at. */
-function findAddress(): Promise<string> {
+export function findAddress(): Promise<string> {
   return new Promise((resolve) => {
     const server = createNetServer();
     server.listen(0, '127.0.0.1', () => {
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { connect, createServer, type AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 import { describe, it } from 'node:test';
 import { createSilentLog, parseAddress } from '@cactusdeal/shared';
 import {
@@ -13,7 +13,7 @@
 import { buildNotRun, type GateCall, NotRunReason } from '../../CactusdealRelayTypes.js';
 import { toCallMessage } from '../../CactusdealRelayWire.js';
 import { buildGateView } from '../CactusdealRelayFixtures.js';
-import { waitUntil } from '../CactusdealRelayWorld.js';
+import { findAddress, waitUntil } from '../CactusdealRelayWorld.js';
 
 const PING: Message = [MessageKind.Ping];
 
@@ -104,13 +104,3 @@
     close: () => {},
   };
 }
-
-function findAddress(): Promise<string> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
-  });
-}
