Check all links for silence with one timer; refuse log lines before they are built

Cause: an idle daemon of twelve peers woke 30 to 45 times a second, most of it for a silence timer of each link; a line that the log's bound leaves out was still built, parsed and formatted; a call was counted in a counter and in a histogram that counts too. Change: Members has one timer for all links. The log asks the writer for room before any work; the graver a line, the less room must be left. The counter of calls is gone, the histogram's count stays.

--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -1,6 +1,6 @@
 import type { Clock, Log } from '@cactusdeal/shared';
 import type { GateView } from './CactusdealRelayBalancer.js';
-import { createPeer, type Peer } from './CactusdealRelayPeer.js';
+import { createPeer, type Peer, SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import type { Member } from './CactusdealRelayTypes.js';
 import type { Status } from './CactusdealRelayWire.js';
 
@@ -29,6 +29,8 @@
 
 export function createMembers(options: MembersOptions): Members {
   const peers = new Map<string, Peer>();
+  // One timer for all links: a timer for each would wake the process for each.
+  const timer = setInterval(() => peers.forEach((peer) => peer.checkSilence()), SILENCE_CHECK_MS);
   return {
     add,
     replace: (listed) => {
@@ -50,6 +52,7 @@
     },
     countConnected: () => [...peers.values()].filter((peer) => peer.isConnected()).length,
     close: () => {
+      clearInterval(timer);
       peers.forEach((peer) => peer.close());
       peers.clear();
     },
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Gauge, Histogram, Registry } from 'prom-client';
 import type { CallRecord } from './CactusdealRelayEntry.js';
 import type { GateReport } from './CactusdealRelayTypes.js';
 
@@ -31,12 +31,6 @@
     buckets: BUCKETS_SECONDS,
     registers,
   });
-  const calls = new Counter({
-    name: 'cactusdeal_calls_total',
-    help: 'Calls that ended at the entry, by kind and outcome',
-    labelNames: ['kind', 'outcome'],
-    registers,
-  });
   addGauge('cactusdeal_gate_load', 'Calls that run or wait here', () => sources.getReport().load);
   addGauge('cactusdeal_gate_open', 'Whether the gate takes calls', () =>
     Number(sources.getReport().open),
@@ -48,7 +42,6 @@
   return {
     recordCall: ({ kind, outcome, durationMs }) => {
       durations.observe({ kind, outcome }, durationMs / MS_PER_SECOND);
-      calls.inc({ kind, outcome });
     },
     render: () => registry.metrics(),
   };
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -42,6 +42,8 @@
   /** Keeps calls away from the gate for a while. */
   avoid(durationMs: number): void;
   askConfiguration(): void;
+  /** Gives a link up that has been silent for too long; called every `SILENCE_CHECK_MS`. */
+  checkSilence(): void;
   close(): void;
 }
 
@@ -61,10 +63,12 @@
   settle(end: AttemptEnd): void;
 }
 
+/** Time between two checks of all links for silence. */
+export const SILENCE_CHECK_MS = 150;
+
 const CONNECT_TIMEOUT_MS = 1_000;
 const LEAST_BACKOFF_MS = 50;
 const MOST_BACKOFF_MS = 1_500;
-const WATCH_MS = 150;
 /** Silence with calls pending after which the peer is asked for a sign of life. */
 const PING_AFTER_MS = 250;
 /** Silence with calls pending after which the gate gets no further calls. */
@@ -155,7 +159,6 @@
       const timeout = setTimeout(() => socket.destroy(new Error('timeout')), CONNECT_TIMEOUT_MS);
       const close = (): unknown => socket.destroy();
       this.stop.signal.addEventListener('abort', close, { once: true });
-      const watch = setInterval(() => this.checkSilence(socket), WATCH_MS);
       socket.on('connect', () => {
         clearTimeout(timeout);
         this.startLink(socket);
@@ -174,7 +177,6 @@
       });
       socket.on('close', () => {
         clearTimeout(timeout);
-        clearInterval(watch);
         this.stop.signal.removeEventListener('abort', close);
         this.endLink();
         resolve(reason);
@@ -204,8 +206,9 @@
     return this.pending.size > 0 && this.options.clock() - this.heardAtMs > DOUBT_AFTER_MS;
   }
 
-  private checkSilence(socket: Socket): void {
-    if (this.socket === undefined) return;
+  public checkSilence(): void {
+    const { socket } = this;
+    if (socket === undefined) return;
     const silentMs = this.options.clock() - this.heardAtMs;
     const isWaiting = this.pending.size > 0;
     if (silentMs > (isWaiting ? LOST_AFTER_MS : IDLE_LOST_AFTER_MS)) {
--- a/packages/shared/src/CactusdealSharedLog.ts
+++ b/packages/shared/src/CactusdealSharedLog.ts
@@ -32,22 +32,39 @@
   readonly context: Record<string, unknown>;
 }
 
-/** Directs all of the process's log lines to `write`, dropping those under `minimum`. */
-export function startLogging(write: (line: string) => void, minimum: LogLevel): void {
-  roarr.write = (message) => {
-    const line = JSON.parse(message) as RoarrLine;
-    if (Number(line.context.logLevel) >= minimum) write(formatLine(line));
-  };
+/** Whether a line of the level is wanted; asked before any work is done for the line. */
+let admitLine: (level: LogLevel) => boolean = () => false;
+
+/**
+ * Directs all of the process's log lines to `write`, dropping those under `minimum` and those that
+ * `admit` refuses.
+ */
+export function startLogging(
+  write: (line: string) => void,
+  minimum: LogLevel,
+  admit: (level: LogLevel) => boolean = () => true,
+): void {
+  admitLine = (level) => level >= minimum && admit(level);
+  roarr.write = (message) => write(formatLine(JSON.parse(message) as RoarrLine));
 }
 
 /** Creates a log whose lines all carry `fields`. */
 export function createLog(fields: LogFields = {}): Log {
   const logger = Roarr.child(fields as Record<string, string>);
+  const context = (more: LogFields): Record<string, string> => more as Record<string, string>;
   return {
-    debug: (event, more = {}) => logger.debug(more as Record<string, string>, event),
-    info: (event, more = {}) => logger.info(more as Record<string, string>, event),
-    warn: (event, more = {}) => logger.warn(more as Record<string, string>, event),
-    error: (event, more = {}) => logger.error(more as Record<string, string>, event),
+    debug: (event, more = {}) => {
+      if (admitLine(LogLevel.Debug)) logger.debug(context(more), event);
+    },
+    info: (event, more = {}) => {
+      if (admitLine(LogLevel.Info)) logger.info(context(more), event);
+    },
+    warn: (event, more = {}) => {
+      if (admitLine(LogLevel.Warn)) logger.warn(context(more), event);
+    },
+    error: (event, more = {}) => {
+      if (admitLine(LogLevel.Error)) logger.error(context(more), event);
+    },
     with: (more) => createLog({ ...fields, ...more }),
   };
 }
--- a/packages/shared/src/CactusdealSharedLogWriter.ts
+++ b/packages/shared/src/CactusdealSharedLogWriter.ts
@@ -1,9 +1,12 @@
 import { createWriteStream, fstatSync } from 'node:fs';
 import { Socket } from 'node:net';
 import type { Writable } from 'node:stream';
+import { LogLevel } from './CactusdealSharedLog.js';
 
 /** Writes log lines without ever waiting for their reader. */
 export interface LogWriter {
+  /** Whether a line of the level may be written now; counts it as lost when not. */
+  readonly admit: (level: LogLevel) => boolean;
   readonly write: (line: string) => void;
   /** Lines that were left out because they came too fast or nobody read. */
   readonly countLost: () => number;
@@ -12,13 +15,20 @@
 
 export interface LogWriterOptions {
   readonly stream?: Writable;
-  /** Most lines a second; the first of a burst are kept. */
+  /** Most lines a second, and most at once. */
   readonly linesPerSecond?: number;
   /** Most bytes that may wait for the reader. */
   readonly maxWaitingBytes?: number;
 }
 
-const LINES_PER_SECOND = 150;
+const LINES_PER_SECOND = 100;
+/** Part of the lines of a second that must be left for a line of a level, so that the graver ones always find room. */
+const LEFT_FOR_OTHERS: Readonly<Record<LogLevel, number>> = {
+  [LogLevel.Debug]: 0.7,
+  [LogLevel.Info]: 0.3,
+  [LogLevel.Warn]: 0.1,
+  [LogLevel.Error]: 0,
+};
 const MAX_WAITING_BYTES = 256 * 1024;
 const FLUSH_MS = 100;
 const MS_PER_SECOND = 1_000;
@@ -38,23 +48,25 @@
     // A reader that is gone takes nothing more; the lines count as lost.
     lost += 1;
   });
-  return { write, countLost: () => lost, close: flush };
+  return { admit, write, countLost: () => lost, close: flush };
+
+  function admit(level: LogLevel): boolean {
+    const hasRoom = stream.writableLength <= maxWaitingBytes && takeToken(level);
+    if (!hasRoom) lost += 1;
+    return hasRoom;
+  }
 
   function write(line: string): void {
-    if (!takeToken() || stream.writableLength > maxWaitingBytes) {
-      lost += 1;
-      return;
-    }
     lines.push(line);
     timer ??= setTimeout(flush, FLUSH_MS);
   }
 
-  function takeToken(): boolean {
+  function takeToken(level: LogLevel): boolean {
     const nowMs = performance.now();
     const earned = ((nowMs - filledAtMs) * linesPerSecond) / MS_PER_SECOND;
     tokens = Math.min(linesPerSecond, tokens + earned);
     filledAtMs = nowMs;
-    if (tokens < 1) return false;
+    if (tokens - 1 < linesPerSecond * LEFT_FOR_OTHERS[level]) return false;
     tokens -= 1;
     return true;
   }
