Let the entry read on before it leads a call; split it by what it does

A caller that had closed its side before the call was led was not noticed at all. Change: calls are led two turns after they were read, and not for a caller that has left. The same queue serves calls that come over links.

--- /dev/null
+++ b/packages/relay/src/CactusdealRelayBody.ts
@@ -0,0 +1,33 @@
+import type { IncomingMessage } from 'node:http';
+import { findField } from './CactusdealRelayHeaders.js';
+
+/** A request's body: undefined when it has none; or why there is none to pass on. */
+export type ReadBody = Uint8Array | undefined | 'too-large' | 'gone';
+
+const NO_BODY = new Uint8Array(0);
+
+/** Whether the header says that a body follows. */
+export function hasBody({ rawHeaders }: IncomingMessage): boolean {
+  if (findField(rawHeaders, 'transfer-encoding') !== undefined) return true;
+  return Number(findField(rawHeaders, 'content-length') ?? 0) > 0;
+}
+
+/** Reads a body whole; one above `maxBytes` is read to its end and not kept. */
+export function readBody(request: IncomingMessage, maxBytes: number): Promise<ReadBody> {
+  if (!hasBody(request)) {
+    request.resume();
+    const isAbsent = findField(request.rawHeaders, 'content-length') === undefined;
+    return Promise.resolve(isAbsent ? undefined : NO_BODY);
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= maxBytes) chunks.push(chunk);
+    });
+    request.on('end', () => resolve(size > maxBytes ? 'too-large' : Buffer.concat(chunks)));
+    request.on('error', () => resolve('gone'));
+    request.on('close', () => resolve('gone'));
+  });
+}
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -1,7 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { type Clock, type Log, parseAddress } from '@cactusdeal/shared';
+import { type ReadBody, readBody } from './CactusdealRelayBody.js';
+import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
 import { findField, selectEndToEnd } from './CactusdealRelayHeaders.js';
+import { createReadAhead, type ReadAhead } from './CactusdealRelayReadAhead.js';
+import { createResponder, type Responder } from './CactusdealRelayResponder.js';
 import type { RoutedEnd, RoutedRun, Router } from './CactusdealRelayRouter.js';
 import type { CompiledRoute, RouteTable } from './CactusdealRelayRoutes.js';
 import {
@@ -44,20 +48,11 @@
   readonly durationMs: number;
 }
 
-const Status = {
-  NotFound: 404,
-  TooLarge: 413,
-  BadGateway: 502,
-  Unavailable: 503,
-  TimedOut: 504,
-} as const;
-
 /** Above what any configuration allows; the limit in force is checked besides. */
 const MAX_HEADER_BYTES = 64 * 1024;
 const MAX_DEADLINE_MS = 600_000;
 const NO_CONFIGURATION_RETRY_MS = 300;
 const STOPPING_RETRY_MS = 300;
-const MS_PER_SECOND = 1_000;
 
 /** Starts listening; rejects when the address is taken. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
@@ -66,11 +61,24 @@
   return entry;
 }
 
+/** A request that has been read, with what is needed to answer it. */
+interface Arrival {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly id: string | undefined;
+  readonly body: ReadBody;
+  readonly startedAtMs: number;
+  readonly caller: Caller;
+}
+
 class HttpEntry implements Entry {
   private readonly server: Server;
 
-  /** Calls under way by the connection that they came on. */
-  private readonly runs = new Map<Socket, Set<() => void>>();
+  private readonly callers: Callers = createCallers();
+
+  private readonly readAhead: ReadAhead = createReadAhead();
+
+  private readonly responder: Responder;
 
   /** Longest time that a caller of each route has offered, in milliseconds. */
   private readonly longestMs = new WeakMap<CompiledRoute, number>();
@@ -81,20 +89,19 @@
 
   private live = 0;
 
-  private isDraining = false;
-
   private isRefusing = false;
 
   public constructor(private readonly options: EntryOptions) {
-    const { deadline, upstreamId, callerService } = options.names;
-    this.dropped = new Set([deadline, upstreamId, callerService]);
+    const { names, log, getRoutes } = options;
+    this.dropped = new Set([names.deadline, names.upstreamId, names.callerService]);
+    this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
       (request, response) => {
         void this.handle(request, response);
       },
     );
-    this.server.on('connection', (socket: Socket) => this.watchSocket(socket));
+    this.server.on('connection', (socket: Socket) => this.callers.add(socket));
   }
 
   public listen(): Promise<void> {
@@ -111,74 +118,65 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  private watchSocket(socket: Socket): void {
-    const cancels = new Set<() => void>();
-    this.runs.set(socket, cancels);
-    const cancelAll = (): void => cancels.forEach((cancel) => cancel());
-    socket.on('end', cancelAll);
-    socket.on('close', () => {
-      cancelAll();
-      this.runs.delete(socket);
-    });
-  }
-
-  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** The task of one request: read it, read on, lead it and answer. */
+  private async handle(held: IncomingMessage, response: ServerResponse): Promise<void> {
+    const request = held;
     const startedAtMs = this.options.clock();
+    const caller = this.callers.find(request.socket);
+    if (caller === undefined) return;
     this.live += 1;
     response.sendDate = false;
     try {
-      await this.serve(request, response, startedAtMs);
+      const body = await readBody(request, this.maxBodyBytes);
+      await new Promise<void>((resolve) => {
+        this.readAhead.schedule(resolve);
+      });
+      const id = findField(request.rawHeaders, this.options.names.callId);
+      await this.serve({ request, response, id, body, startedAtMs, caller });
     } finally {
       this.live -= 1;
     }
   }
 
-  private async serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-    startedAtMs: number,
-  ): Promise<void> {
-    const { names, clock, getRoutes, recordCall } = this.options;
-    const id = findField(request.rawHeaders, names.callId);
-    const body = await readBody(request, this.maxBodyBytes);
+  private async serve(arrival: Arrival): Promise<void> {
+    const { request, response, id, body, startedAtMs, caller } = arrival;
+    const { clock, log, getRoutes, recordCall } = this.options;
+    if (caller.hasLeft || body === 'gone') {
+      log.debug('call-abandoned', { call: id });
+      request.socket.destroy();
+      return;
+    }
     if (this.isRefusing) {
-      const reason = NotRunReason.Stopping;
-      this.refuse(response, id, { type: 'not-run', reason, retryAfterMs: STOPPING_RETRY_MS });
+      this.responder.refuse(response, id, NotRunReason.Stopping, STOPPING_RETRY_MS);
       return;
     }
     const routes = getRoutes();
     if (routes === undefined) {
       const reason = NotRunReason.NoConfiguration;
-      this.refuse(response, id, {
-        type: 'not-run',
-        reason,
-        retryAfterMs: NO_CONFIGURATION_RETRY_MS,
-      });
+      this.responder.refuse(response, id, reason, NO_CONFIGURATION_RETRY_MS);
       return;
     }
-    const route = routes.match(request.headers.host ?? '', request.url ?? '/');
+    const host = findField(request.rawHeaders, 'host') ?? '';
+    const route = routes.match(host, request.url ?? '/');
     if (route === undefined) {
-      this.answerOwn(response, id, Status.NotFound, 'no-route');
+      this.responder.answerNoRoute(response, id);
       return;
     }
-    if (body === 'gone') return;
     if (body === 'too-large') {
-      this.answerOwn(response, id, Status.TooLarge, 'body-too-large');
+      this.responder.answerTooLarge(response, id);
       return;
     }
-    const end = await this.run(request, route, body, id, startedAtMs);
-    this.finish(response, id, end);
+    const end = await this.run(arrival, route, body);
+    this.responder.finish(response, id, end);
     const outcome = end.type === 'answered' ? String(end.answer.status) : end.reason;
     recordCall({ kind: route.kind, outcome, durationMs: clock() - startedAtMs });
   }
 
-  /** Leads the call; ends at the deadline at the latest, or when the caller has gone. */
+  /** Leads the call; ends at the deadline at the latest, or when the caller has left. */
   private run(
-    request: IncomingMessage,
+    { request, id, startedAtMs, caller }: Arrival,
     route: CompiledRoute,
     body: Uint8Array | undefined,
-    id: string | undefined,
-    startedAtMs: number,
   ): Promise<RoutedEnd> {
     const { rule } = route;
     const offeredMs = this.readDeadlineMs(request);
@@ -202,7 +200,7 @@
         isNested: this.isNested(id),
       },
     });
-    return this.limitRun(request.socket, run, startedAtMs + limitMs);
+    return this.limitRun(caller, run, startedAtMs + limitMs);
   }
 
   private isNested(id: string | undefined): boolean {
@@ -210,16 +208,11 @@
     return parentId !== undefined && this.options.isRunning(parentId);
   }
 
-  private limitRun(socket: Socket, run: RoutedRun, deadlineAtMs: number): Promise<RoutedEnd> {
-    const cancels = this.runs.get(socket);
+  private limitRun(caller: Caller, run: RoutedRun, deadlineAtMs: number): Promise<RoutedEnd> {
     return new Promise((resolve) => {
-      const timer = setTimeout(
-        () => stop(UnknownReason.TimedOut),
-        deadlineAtMs - this.options.clock(),
-      );
-      const cancel = (): void => stop(UnknownReason.Cancelled);
-      cancels?.add(cancel);
-      if (socket.destroyed) cancel();
+      const leftMs = deadlineAtMs - this.options.clock();
+      const timer = setTimeout(() => stop(UnknownReason.TimedOut), leftMs);
+      const forget = caller.observe(() => stop(UnknownReason.Cancelled));
       void run.end.then(settle);
 
       function stop(reason: UnknownReason): void {
@@ -229,7 +222,7 @@
 
       function settle(end: RoutedEnd): void {
         clearTimeout(timer);
-        cancels?.delete(cancel);
+        forget();
         resolve(end);
       }
     });
@@ -256,75 +249,12 @@
     return kept;
   }
 
-  private finish(response: ServerResponse, id: string | undefined, end: RoutedEnd): void {
-    if (response.destroyed || response.socket?.destroyed === true) return;
-    if (end.type === 'answered') this.forward(response, id, end);
-    else if (end.type === 'not-run') this.refuse(response, id, end);
-    else {
-      const isTimeout = end.reason === UnknownReason.TimedOut;
-      this.answerOwn(response, id, isTimeout ? Status.TimedOut : Status.BadGateway, end.reason);
-    }
-  }
-
-  private forward(
-    response: ServerResponse,
-    id: string | undefined,
-    { answer }: RoutedEnd & { type: 'answered' },
-  ): void {
-    const { names } = this.options;
-    if (answer.status === Status.Unavailable || answer.status === 429) {
-      // The upstream ran it; a caller would read this status as "not run".
-      this.answerOwn(response, id, Status.BadGateway, 'upstream-unavailable');
-      return;
-    }
-    const headers = selectEndToEnd(answer.headers, NOT_FORWARDED);
-    if (id !== undefined && findField(headers, names.callId) === undefined) {
-      headers.push(names.callId, id);
-    }
-    this.write(response, answer.status, headers, answer.body);
-  }
-
-  private refuse(
-    response: ServerResponse,
-    id: string | undefined,
-    end: RoutedEnd & { type: 'not-run' },
-  ): void {
-    const seconds = Math.max(0, end.retryAfterMs) / MS_PER_SECOND;
-    this.answerOwn(response, id, Status.Unavailable, end.reason, ['retry-after', String(seconds)]);
-  }
-
-  private answerOwn(
-    response: ServerResponse,
-    id: string | undefined,
-    status: number,
-    reason: string,
-    extra: readonly string[] = [],
-  ): void {
-    const { names, log } = this.options;
-    const version = this.options.getRoutes()?.version;
-    log.info('call-refused', { call: id, status, reason, version });
-    const headers = id === undefined ? [...extra] : [...extra, names.callId, id];
-    this.write(response, status, headers, NO_BODY);
-  }
-
-  private write(
-    response: ServerResponse,
-    status: number,
-    headers: string[],
-    body: Uint8Array,
-  ): void {
-    if (this.isDraining) headers.push('connection', 'close');
-    headers.push('content-length', String(body.byteLength));
-    response.writeHead(status, headers);
-    response.end(body);
-  }
-
   public countCalls(): number {
     return this.live;
   }
 
   public drain(): void {
-    this.isDraining = true;
+    this.responder.drain();
   }
 
   public refuseCalls(): void {
@@ -336,30 +266,3 @@
     this.server.closeAllConnections();
   }
 }
-
-const NO_BODY = new Uint8Array(0);
-const NOT_FORWARDED: ReadonlySet<string> = new Set();
-
-type ReadBody = Uint8Array | undefined | 'too-large' | 'gone';
-
-function readBody(request: IncomingMessage, maxBytes: number): Promise<ReadBody> {
-  const { headers } = request;
-  const hasBody =
-    headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-  if (!hasBody) {
-    request.resume();
-    const isEmpty = headers['content-length'] === undefined;
-    return Promise.resolve(isEmpty ? undefined : NO_BODY);
-  }
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maxBytes) chunks.push(chunk);
-    });
-    request.on('end', () => resolve(size > maxBytes ? 'too-large' : Buffer.concat(chunks)));
-    request.on('error', () => resolve('gone'));
-    request.on('close', () => resolve('gone'));
-  });
-}
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -7,6 +7,7 @@
   MessageKind,
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
+import { createReadAhead, type ReadAhead } from './CactusdealRelayReadAhead.js';
 import type { Attempt, GateCall, Member } from './CactusdealRelayTypes.js';
 import {
   parseCall,
@@ -42,8 +43,9 @@
 interface Accepted {
   readonly socket: Socket;
   readonly calls: Map<number, Attempt>;
-  /** Calls that were read in this turn of the event loop and may still be cancelled in it. */
+  /** Calls that were read and may be cancelled by what arrived with them. */
   readonly unserved: Map<number, GateCall>;
+  readonly readAhead: ReadAhead;
   isLocal: boolean;
 }
 
@@ -94,7 +96,13 @@
 }
 
 function acceptLink(options: LinkListenerOptions, links: Set<Accepted>, socket: Socket): void {
-  const link: Accepted = { socket, calls: new Map(), unserved: new Map(), isLocal: false };
+  const link: Accepted = {
+    socket,
+    calls: new Map(),
+    unserved: new Map(),
+    readAhead: createReadAhead(),
+    isLocal: false,
+  };
   links.add(link);
   const read = createMessageReader((message) => receive(options, link, message));
   socket.on('data', (chunk: Buffer) => {
@@ -149,7 +157,7 @@
  * arrive together with their cancellations, and must not reach the upstream before those are read.
  */
 function holdCall(options: LinkListenerOptions, link: Accepted, message: Message): void {
-  if (link.unserved.size === 0) setImmediate(serveCalls, options, link);
+  if (link.unserved.size === 0) link.readAhead.schedule(() => serveCalls(options, link));
   link.unserved.set(message[1] as number, parseCall(message));
 }
 
