Load less at a start of the deployed program

Cause: 119 modules of the runtime were loaded at a start, among them HTTP/2, TLS, cryptography and child processes, which libraries name and the program never uses; the CBOR library loaded a native part through a package search. Change: such modules are loaded on first use; three parts of prom-client that are not used are left out of the bundle; the native part is not looked for.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,6 +7,45 @@
   packages.map((name) => [`@cactusdeal/${name}`, `./packages/${name}/src/index.ts`]),
 );
 
+// Modules of the runtime that libraries load for what the program never does; each is loaded on its first use.
+const RARE_MODULES = [
+  'cluster',
+  'https',
+  'zlib',
+  'v8',
+  'crypto',
+  'tls',
+  'http2',
+  'node:sqlite',
+  'perf_hooks',
+];
+// Parts of the library of metrics that the program does not use.
+const UNUSED_PARTS = /\/(pushgateway|defaultMetrics|cluster)$/;
+
+const loadRareModulesLate = {
+  name: 'load-rare-modules-late',
+  setup(bundler) {
+    const filter = new RegExp(`^(node:)?(${RARE_MODULES.join('|')})$`);
+    bundler.onResolve({ filter }, ({ path, namespace }) =>
+      namespace === 'late' ? { path, external: true } : { path, namespace: 'late' },
+    );
+    bundler.onResolve({ filter: UNUSED_PARTS }, ({ path, importer }) =>
+      importer.includes('prom-client') ? { path, namespace: 'unused' } : undefined,
+    );
+    bundler.onLoad({ filter: /.*/, namespace: 'unused' }, () => ({ contents: '' }));
+    bundler.onLoad({ filter: /.*/, namespace: 'late' }, ({ path }) => ({
+      contents: formatLateModule(path),
+      loader: 'js',
+    }));
+  },
+};
+
+function formatLateModule(path) {
+  // The HTTP library reads names of HTTP/2 as it is loaded, and works without them.
+  if (path.endsWith('http2')) return 'module.exports = { constants: {} };';
+  return `module.exports = new Proxy({}, { get: (_, name) => require(${JSON.stringify(path)})[name] });`;
+}
+
 await build({
   entryPoints: ['platform/src/CactusdealAdapterMain.ts'],
   outfile: 'target/cactusdeal-relay.cjs',
@@ -19,6 +58,9 @@
   // Optional native parts of libraries; the programs run without them.
   external: ['cbor-extract'],
   minifySyntax: true,
+  // The native part of the library costs more at a start than it saves.
+  define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
+  plugins: [loadRareModulesLate],
   legalComments: 'none',
   logLevel: 'warning',
 });
