Pass versions on as what changed, and whole ones compressed

Cause: a daemon that does not read the platform got each version as its whole text. Change: a daemon keeps its last four versions and answers a neighbour that tells its own with a JSON patch (rfc6902), or with the deflated text when that version is unknown. An update that cannot be read or builds on another version asks for the whole; nothing is applied in part. Ruled out: the old text as a dictionary of the compressor, whose window is 32 KB; patches made by the adapter, as the text is JSON wherever it comes from.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -9,6 +9,11 @@
 } from './CactusdealRelayPorts.js';
 import { buildRouteTable, type RouteTable } from './CactusdealRelayRoutes.js';
 import type { Member, RelayConfiguration } from './CactusdealRelayTypes.js';
+import {
+  createVersionHistory,
+  type VersionHistory,
+  type VersionUpdate,
+} from './CactusdealRelayVersionHistory.js';
 import type { Status } from './CactusdealRelayWire.js';
 
 /** The configuration in force here, which only ever moves to a higher version. */
@@ -18,8 +23,10 @@
   getStatus(): Status;
   /** Takes in what another daemon says of its version. */
   receiveStatus(peer: Peer, status: Status): void;
-  /** Takes in a configuration from another daemon or the platform. */
-  receive(source: string): void;
+  /** What a daemon that holds version `from` needs; undefined while none is held here. */
+  buildUpdate(from: number): VersionUpdate | undefined;
+  /** Takes in a version from another daemon. */
+  receiveUpdate(peer: Peer, update: VersionUpdate): void;
   /** The task that keeps it current; ends when closed. */
   run(members: Members): Promise<void>;
   close(): void;
@@ -56,6 +63,8 @@
 class FollowedConfigurations implements Configurations {
   private readonly stop = new AbortController();
 
+  private readonly history: VersionHistory = createVersionHistory();
+
   private current: RelayConfiguration | undefined;
 
   private routes: RouteTable | undefined;
@@ -90,10 +99,24 @@
     const isLost = this.current === undefined && nowMs - this.startedAtMs > ASK_ANYONE_AFTER_MS;
     if ((!isNear && !isLost) || nowMs - this.askedAtMs < ASK_AGAIN_MS) return;
     this.askedAtMs = nowMs;
-    peer.askConfiguration();
+    peer.askConfiguration(this.current?.version ?? 0);
+  }
+
+  public buildUpdate(from: number): VersionUpdate | undefined {
+    return this.history.buildUpdate(from);
+  }
+
+  public receiveUpdate(peer: Peer, update: VersionUpdate): void {
+    this.history
+      .apply(update)
+      .ifLeft(({ kind, message }) => {
+        this.options.log.warn('update-rejected', { peer: peer.member.id, kind, message });
+        if (update.type === 'delta') peer.askConfiguration(0);
+      })
+      .ifRight((source) => this.receive(source));
   }
 
-  public receive(source: string): void {
+  private receive(source: string): void {
     const decoded = this.options.source.decode(source);
     decoded
       .ifLeft(({ kind, message }) => {
@@ -108,6 +131,7 @@
     if (next.version <= before) return;
     this.current = next;
     this.routes = buildRouteTable(next);
+    this.history.add(next.version, next.source);
     this.askedAtMs = -Infinity;
     log.info('version-in-force', { version: next.version, before, routes: next.routes.length });
     observe(next);
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -9,6 +9,7 @@
 import type { Gate } from './CactusdealRelayGate.js';
 import { createReadAhead, type ReadAhead } from './CactusdealRelayReadAhead.js';
 import type { Attempt, GateCall, Member } from './CactusdealRelayTypes.js';
+import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
   parseCall,
   parseHello,
@@ -17,6 +18,7 @@
   toHelloMessage,
   toReportMessage,
   toStatusMessage,
+  toUpdateMessage,
 } from './CactusdealRelayWire.js';
 
 /** Takes the links that other daemons dial, and their calls to this daemon's gate. */
@@ -34,7 +36,8 @@
   readonly self: Member;
   readonly gate: Gate;
   readonly getStatus: () => Status;
-  readonly getConfigurationSource: () => string | undefined;
+  /** What a daemon needs that holds the version. */
+  readonly buildUpdate: (version: number) => VersionUpdate | undefined;
   /** Runs when a daemon dialled that may not be known yet. */
   readonly receiveMember: (member: Member) => void;
   readonly log: Log;
@@ -144,8 +147,8 @@
       write(link, [MessageKind.Pong]);
       break;
     case MessageKind.WantConfiguration: {
-      const source = options.getConfigurationSource();
-      if (source !== undefined) write(link, [MessageKind.Configuration, source]);
+      const update = options.buildUpdate(message[1] as number);
+      if (update !== undefined) write(link, toUpdateMessage(update));
       break;
     }
     default:
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -2,6 +2,7 @@
 import type { GateView } from './CactusdealRelayBalancer.js';
 import { createPeer, type Peer, SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import type { Member } from './CactusdealRelayTypes.js';
+import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import type { Status } from './CactusdealRelayWire.js';
 
 /** The other daemons that this one knows, each with the link that it dials. */
@@ -22,7 +23,7 @@
   readonly self: Member;
   readonly getStatus: () => Status;
   readonly receiveStatus: (peer: Peer, status: Status) => void;
-  readonly receiveConfiguration: (source: string) => void;
+  readonly receiveUpdate: (peer: Peer, update: VersionUpdate) => void;
   readonly clock: Clock;
   readonly log: Log;
 }
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -18,11 +18,13 @@
   NotRunReason,
   UnknownReason,
 } from './CactusdealRelayTypes.js';
+import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
   parseEnd,
   parseHello,
   parseReport,
   parseStatus,
+  parseUpdate,
   type Status,
   toCallMessage,
   toHelloMessage,
@@ -41,7 +43,8 @@
   send(call: GateCall): Attempt;
   /** Keeps calls away from the gate for a while. */
   avoid(durationMs: number): void;
-  askConfiguration(): void;
+  /** Asks for what is newer than the version held here; 0 for all of it. */
+  askConfiguration(version: number): void;
   /** Gives a link up that has been silent for too long; called every `SILENCE_CHECK_MS`. */
   checkSilence(): void;
   close(): void;
@@ -54,7 +57,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly receiveStatus: (peer: Peer, status: Status) => void;
-  readonly receiveConfiguration: (source: string) => void;
+  readonly receiveUpdate: (peer: Peer, update: VersionUpdate) => void;
 }
 
 interface Pending {
@@ -252,7 +255,7 @@
         this.takeStatus(parseStatus(message));
         break;
       case MessageKind.Configuration:
-        this.options.receiveConfiguration(message[1] as string);
+        this.options.receiveUpdate(this, parseUpdate(message));
         break;
       default:
     }
@@ -319,8 +322,8 @@
     this.avoidedUntilMs = this.options.clock() + durationMs;
   }
 
-  public askConfiguration(): void {
-    this.write([MessageKind.WantConfiguration]);
+  public askConfiguration(version: number): void {
+    this.write([MessageKind.WantConfiguration, version]);
   }
 
   private write(message: Message): void {
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -40,7 +40,7 @@
   /** Names of all services, also of those that no route leads to. */
   readonly services: ReadonlySet<string>;
   readonly limits: CallerLimits;
-  /** The text that it was read from, passed on to other daemons as it is. */
+  /** The JSON text that it was read from. */
   readonly source: string;
 }
 
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,5 +1,6 @@
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
 import type { AttemptEnd, GateCall, GateReport, Member } from './CactusdealRelayTypes.js';
+import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 
 /** What a daemon says of itself when a link opens and from time to time. */
 export interface Status {
@@ -126,3 +127,14 @@
 export function parseStatus(message: Message): Status {
   return { version: message[1] as number, platformAgeMs: message[2] as number };
 }
+
+/** Version 0 stands for an update that needs none before it. */
+export function toUpdateMessage(update: VersionUpdate): Message {
+  return [MessageKind.Configuration, update.type === 'delta' ? update.from : 0, update.bytes];
+}
+
+export function parseUpdate(message: Message): VersionUpdate {
+  const from = message[1] as number;
+  const bytes = message[2] as Uint8Array;
+  return from === 0 ? { type: 'whole', bytes } : { type: 'delta', from, bytes };
+}
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -118,7 +118,7 @@
     self,
     getStatus,
     receiveStatus: (peer, status) => configurations.receiveStatus(peer, status),
-    receiveConfiguration: (text) => configurations.receive(text),
+    receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
     clock,
     log,
   });
@@ -138,7 +138,7 @@
     self,
     gate,
     getStatus,
-    getConfigurationSource: () => configurations.get()?.source,
+    buildUpdate: (version) => configurations.buildUpdate(version),
     receiveMember: (member) => members.add(member),
     log,
   });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -70,7 +70,7 @@
         self: { id: 'd1', dataCentre: 'west', address },
         gate: createRecordingGate(paths),
         getStatus: () => ({ version: 1, platformAgeMs: 0 }),
-        getConfigurationSource: () => undefined,
+        buildUpdate: () => undefined,
         receiveMember: () => {},
         log: createSilentLog(),
       });
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayVersionHistory.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { createVersionHistory, type VersionHistory } from '../../CactusdealRelayVersionHistory.js';
+
+function buildHistory(sources: Readonly<Record<number, unknown>>): VersionHistory {
+  const history = createVersionHistory();
+  Object.entries(sources).forEach(([version, source]) => {
+    history.add(Number(version), JSON.stringify(source));
+  });
+  return history;
+}
+
+/** As many routes as a deployment that has grown, with one of them changed. */
+function buildRoutes(changed: string): unknown {
+  const routes = Object.fromEntries(
+    Array.from({ length: 1_000 }, (_, index) => [`r${index}`, { host: `h${index}`, prefix: '/' }]),
+  );
+  return { routes: { ...routes, r500: { host: changed, prefix: '/' } } };
+}
+
+interface Case {
+  readonly name: string;
+  /** Versions that the sender has had. */
+  readonly sent: Readonly<Record<number, unknown>>;
+  /** Versions that the receiver has had; the last is the one it asks with. */
+  readonly held: Readonly<Record<number, unknown>>;
+  readonly type: 'whole' | 'delta';
+}
+
+const cases: readonly Case[] = [
+  { name: 'all to one that holds none', sent: { 3: { a: 1 } }, held: {}, type: 'whole' },
+  {
+    name: 'what changed to one that holds the version before',
+    sent: { 3: { a: 1, b: { c: 2 } }, 5: { a: 1, b: { d: 3 } } },
+    held: { 3: { a: 1, b: { c: 2 } } },
+    type: 'delta',
+  },
+  {
+    name: 'what changed to one that is two versions behind',
+    sent: { 3: { a: 1 }, 5: { a: 2 }, 6: { a: 3, b: [] } },
+    held: { 3: { a: 1 } },
+    type: 'delta',
+  },
+  {
+    name: 'all to one whose version was never seen',
+    sent: { 5: { a: 2 }, 6: { a: 3 } },
+    held: { 4: { a: 0 } },
+    type: 'whole',
+  },
+  {
+    name: 'all to one that is far behind',
+    sent: { 1: { a: 1 }, 2: { a: 2 }, 3: { a: 3 }, 4: { a: 4 }, 5: { a: 5 } },
+    held: { 1: { a: 1 } },
+    type: 'whole',
+  },
+];
+
+describe('updates between daemons', () => {
+  cases.forEach(({ name, sent, held, type }) => {
+    it(`send ${name}`, () => {
+      const newest = Object.values(sent).at(-1);
+      const update = buildHistory(sent).buildUpdate(Number(Object.keys(held).at(-1) ?? 0));
+      assert.equal(update?.type, type);
+      const text = update === undefined ? '' : buildHistory(held).apply(update).unsafeCoerce();
+      assert.deepEqual(JSON.parse(text), newest);
+    });
+  });
+
+  it('send one changed route of a thousand in little', () => {
+    const history = buildHistory({ 1: buildRoutes('before'), 2: buildRoutes('after') });
+    const size = (from: number): number => history.buildUpdate(from)?.bytes.byteLength ?? 0;
+    assert.ok(size(1) < 100, `${size(1)} bytes`);
+    assert.ok(size(0) > 10 * size(1));
+  });
+
+  it('are refused by one that lacks the version before', () => {
+    const update = buildHistory({ 1: { a: 1 }, 2: { a: 2 } }).buildUpdate(1);
+    assert.ok(update !== undefined && buildHistory({ 3: {} }).apply(update).isLeft());
+  });
+
+  it('are refused when they cannot be read', () => {
+    const update = { type: 'whole', bytes: Buffer.from('no such thing') } as const;
+    assert.ok(buildHistory({}).apply(update).isLeft());
+  });
+
+  it('rebuild any version from any other', () => {
+    const document = fc.dictionary(fc.string(), fc.jsonValue());
+    fc.assert(
+      fc.property(document, document, (before, after) => {
+        const update = buildHistory({ 1: before, 2: after }).buildUpdate(1);
+        assert.ok(update !== undefined);
+        const text = buildHistory({ 1: before }).apply(update).unsafeCoerce();
+        assert.deepEqual(JSON.parse(text), JSON.parse(JSON.stringify(after)));
+      }),
+      { seed: 20_261_204, numRuns: 200 },
+    );
+  });
+});
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -26,9 +26,10 @@
   name: 'load-rare-modules-late',
   setup(bundler) {
     const filter = new RegExp(`^(node:)?(${RARE_MODULES.join('|')})$`);
-    bundler.onResolve({ filter }, ({ path, namespace }) =>
-      namespace === 'late' ? { path, external: true } : { path, namespace: 'late' },
-    );
+    bundler.onResolve({ filter }, ({ path, namespace, importer }) => {
+      if (namespace === 'late') return { path, external: true };
+      return importer.includes('node_modules') ? { path, namespace: 'late' } : undefined;
+    });
     bundler.onResolve({ filter: UNUSED_PARTS }, ({ path, importer }) =>
       importer.includes('prom-client') ? { path, namespace: 'unused' } : undefined,
     );
