Know returning callers by their call; repeat no failure that comes from below

Change: an entry remembers the calls that it did not serve (2,000 at most); a caller that asks for the same with what is left of its time is one that returns, and its target runs from its first time. Cause 2: each level of a chain repeated a failure of the last one. Change: a gate notes that a call which its upstream made was not served, and the failure that follows is not sent to another upstream. Each attempt leaves a line, a plain first one at the level debug.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -6,6 +6,7 @@
 import { findField, selectEndToEnd } from './CactusdealRelayHeaders.js';
 import { createReadAhead, type ReadAhead } from './CactusdealRelayReadAhead.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
+import { type CallIdentity, createReturns, type Returns } from './CactusdealRelayReturns.js';
 import type { RoutedEnd, RoutedRun, Router } from './CactusdealRelayRouter.js';
 import type { CompiledRoute, RouteTable } from './CactusdealRelayRoutes.js';
 import {
@@ -38,6 +39,8 @@
   readonly log: Log;
   /** Whether the upstream on this host runs the call of this id. */
   readonly isRunning: (callId: string) => boolean;
+  /** A call that the upstream on this host made for the one of this id was not served. */
+  readonly recordFailureBelow: (callId: string) => void;
   readonly recordCall: (record: CallRecord) => void;
 }
 
@@ -80,8 +83,7 @@
 
   private readonly responder: Responder;
 
-  /** Longest time that a caller of each route has offered, in milliseconds. */
-  private readonly longestMs = new WeakMap<CompiledRoute, number>();
+  private readonly returns: Returns = createReturns();
 
   private readonly dropped: ReadonlySet<string>;
 
@@ -156,8 +158,8 @@
       this.responder.refuse(response, id, reason, NO_CONFIGURATION_RETRY_MS);
       return;
     }
-    const host = findField(request.rawHeaders, 'host') ?? '';
-    const route = routes.match(host, request.url ?? '/');
+    const identity = this.readIdentity(request);
+    const route = routes.match(identity.host, identity.path);
     if (route === undefined) {
       this.responder.answerNoRoute(response, id);
       return;
@@ -166,7 +168,9 @@
       this.responder.answerTooLarge(response, id);
       return;
     }
-    const end = await this.run(arrival, route, body);
+    const firstAtMs = this.returns.findFirstAtMs(identity, startedAtMs);
+    const end = await this.run(arrival, identity, route, body, firstAtMs);
+    if (!isServed(end)) this.recordUnserved(arrival, identity, firstAtMs);
     this.responder.finish(response, id, end);
     const outcome = end.type === 'answered' ? String(end.answer.status) : end.reason;
     recordCall({ kind: route.kind, outcome, durationMs: clock() - startedAtMs });
@@ -175,23 +179,24 @@
   /** Leads the call; ends at the deadline at the latest, or when the caller has left. */
   private run(
     { request, id, startedAtMs, caller }: Arrival,
+    identity: CallIdentity,
     route: CompiledRoute,
     body: Uint8Array | undefined,
+    firstAtMs: number,
   ): Promise<RoutedEnd> {
     const { rule } = route;
-    const offeredMs = this.readDeadlineMs(request);
-    const elapsedMs = this.measureEarlierMs(route, offeredMs);
+    const { method, path, offeredMs } = identity;
     const limitMs = Math.min(offeredMs, rule.timeoutMs);
     const run = this.options.router.route({
       id,
       maxAttempts: rule.maxAttempts,
       startedAtMs,
-      targetAtMs: startedAtMs + rule.targetMs - elapsedMs,
+      targetAtMs: firstAtMs + rule.targetMs,
       deadlineAtMs: startedAtMs + limitMs,
       call: {
         service: route.pickService(),
-        method: request.method ?? 'GET',
-        path: request.url ?? '/',
+        method,
+        path,
         headers: this.buildHeaders(request),
         body,
         priority: rule.priority,
@@ -203,11 +208,25 @@
     return this.limitRun(caller, run, startedAtMs + limitMs);
   }
 
+  private recordUnserved(
+    { id, startedAtMs }: Arrival,
+    identity: CallIdentity,
+    firstAtMs: number,
+  ): void {
+    this.returns.record(identity, startedAtMs, firstAtMs);
+    const parentId = this.findParentId(id);
+    if (parentId !== undefined) this.options.recordFailureBelow(parentId);
+  }
+
   private isNested(id: string | undefined): boolean {
-    const parentId = id === undefined ? undefined : this.options.names.parseParentId(id);
+    const parentId = this.findParentId(id);
     return parentId !== undefined && this.options.isRunning(parentId);
   }
 
+  private findParentId(id: string | undefined): string | undefined {
+    return id === undefined ? undefined : this.options.names.parseParentId(id);
+  }
+
   private limitRun(caller: Caller, run: RoutedRun, deadlineAtMs: number): Promise<RoutedEnd> {
     return new Promise((resolve) => {
       const leftMs = deadlineAtMs - this.options.clock();
@@ -228,20 +247,21 @@
     });
   }
 
+  private readIdentity(request: IncomingMessage): CallIdentity {
+    return {
+      method: request.method ?? 'GET',
+      host: findField(request.rawHeaders, 'host') ?? '',
+      path: request.url ?? '/',
+      offeredMs: this.readDeadlineMs(request),
+    };
+  }
+
   private readDeadlineMs(request: IncomingMessage): number {
     const text = findField(request.rawHeaders, this.options.names.deadline);
     const offeredMs = Number(text ?? '');
     return offeredMs > 0 ? Math.min(offeredMs, MAX_DEADLINE_MS) : MAX_DEADLINE_MS;
   }
 
-  /** A caller that comes again offers less time than it did first; the difference has passed. */
-  private measureEarlierMs(route: CompiledRoute, offeredMs: number): number {
-    if (offeredMs === MAX_DEADLINE_MS) return 0;
-    const longestMs = Math.max(offeredMs, this.longestMs.get(route) ?? 0);
-    this.longestMs.set(route, longestMs);
-    return longestMs - offeredMs;
-  }
-
   private buildHeaders(request: IncomingMessage): string[] {
     const { names, callerService } = this.options;
     const kept = selectEndToEnd(request.rawHeaders, this.dropped);
@@ -266,3 +286,9 @@
     this.server.closeAllConnections();
   }
 }
+
+const LEAST_ERROR_STATUS = 400;
+
+function isServed(end: RoutedEnd): boolean {
+  return end.type === 'answered' && end.answer.status < LEAST_ERROR_STATUS;
+}
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -35,6 +35,8 @@
   estimateServiceMs(kind: string, guessMs: number): number;
   /** Whether the upstream runs the call of this id. */
   isRunning(callId: string): boolean;
+  /** A call that the upstream made for the one of this id was not served. */
+  recordFailureBelow(callId: string): void;
   /** Refuses what waits and what comes; what runs goes on. */
   drain(): void;
   close(): void;
@@ -60,6 +62,14 @@
   running: UpstreamCall | undefined;
 }
 
+/** A request to the upstream that has ended. */
+interface Run {
+  readonly end: UpstreamEnd;
+  readonly startedAtMs: number;
+  /** Whether a call that the upstream made meanwhile was not served. */
+  readonly failedBelow: boolean;
+}
+
 /** How long a gate stays closed after no connection to its upstream could be had. */
 const UNREACHABLE_MS = 300;
 /** Part of the time left in which a nested call has to be expected to end. */
@@ -91,7 +101,8 @@
 
   private failureRate = 0;
 
-  private readonly runningIds = new Set<string>();
+  /** Ids of the calls that the upstream runs; whether a call that it made for one was not served. */
+  private readonly runningIds = new Map<string, boolean>();
 
   private sweep: NodeJS.Timeout | undefined;
 
@@ -172,7 +183,7 @@
     const upstream = this.upstream as Upstream;
     const startedAtMs = this.options.clock();
     const id = findField(call.headers, this.options.names.callId);
-    if (id !== undefined) this.runningIds.add(id);
+    if (id !== undefined) this.runningIds.set(id, false);
     const request = this.pool.send({
       method: call.method,
       path: call.path,
@@ -183,8 +194,9 @@
     waiting.state = 'running';
     waiting.running = request;
     void request.end.then((end) => {
+      const failedBelow = id !== undefined && this.runningIds.get(id) === true;
       if (id !== undefined) this.runningIds.delete(id);
-      this.finishRun(waiting, upstream, end, startedAtMs);
+      this.finishRun(waiting, upstream, { end, startedAtMs, failedBelow });
     });
   }
 
@@ -197,12 +209,12 @@
   private finishRun(
     waiting: Waiting,
     upstream: Upstream,
-    result: UpstreamEnd,
-    startedAtMs: number,
+    { end: result, startedAtMs, failedBelow }: Run,
   ): void {
     const serviceMs = this.options.clock() - startedAtMs;
     this.admission.release();
-    const end = this.judge(waiting, upstream, result, serviceMs);
+    const judged = this.judge(waiting, upstream, result, serviceMs);
+    const end = judged.type === 'answered' ? { ...judged, failedBelow } : judged;
     if (waiting.state !== 'ended') finish(waiting, end);
     this.startNext();
   }
@@ -235,7 +247,7 @@
     this.recordFailure(answer.status >= SERVER_ERROR ? 1 : 0);
     this.times.record(waiting.kind, serviceMs);
     const queuedMs = clock() - serviceMs - waiting.arrivedAtMs;
-    return { type: 'answered', answer, serviceMs, queuedMs };
+    return { type: 'answered', answer, serviceMs, queuedMs, failedBelow: false };
   }
 
   private takeTurnedAway(upstream: Upstream, answer: Answer): AttemptEnd {
@@ -331,6 +343,10 @@
     return this.runningIds.has(callId);
   }
 
+  public recordFailureBelow(callId: string): void {
+    if (this.runningIds.has(callId)) this.runningIds.set(callId, true);
+  }
+
   public drain(): void {
     this.isDraining = true;
     this.admission.setCapacity(0);
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -1,4 +1,4 @@
-import type { Clock, Log, Random } from '@cactusdeal/shared';
+import type { Clock, Log, LogFields, Random } from '@cactusdeal/shared';
 import { type Choice, chooseGate, type GateView } from './CactusdealRelayBalancer.js';
 import type { Gate } from './CactusdealRelayGate.js';
 import type { Members } from './CactusdealRelayMembers.js';
@@ -166,17 +166,21 @@
   /** Takes in how an attempt ended; whether a further one may follow. */
   private mayContinue(view: GateView, end: AttemptEnd): boolean {
     this.logEnd(view, end);
-    if (end.type === 'answered') return this.mayFollowAnswer(end.answer);
+    if (end.type === 'answered') return this.mayFollowAnswer(end);
     if (end.type === 'unknown') return this.mayFollowUnknown(end);
     this.last = mergeRefusal(this.last, end);
     if (end.reachedUpstream) return this.maySendAgain(false);
     return this.mayAskAnother(view, end.reason);
   }
 
-  private mayFollowAnswer(answer: Answer): boolean {
+  /**
+   * A failure that comes from below was repeated there as often as it may be; repeating it here too
+   * would multiply the calls at each level of a chain.
+   */
+  private mayFollowAnswer({ answer, failedBelow }: AttemptEnd & { type: 'answered' }): boolean {
     const isFailure = answer.status >= SERVER_ERROR && answer.status !== TIMEOUT_STATUS;
     this.last = { type: 'answered', answer };
-    return isFailure && this.routed.call.idempotent && this.maySendAgain(true);
+    return isFailure && !failedBelow && this.routed.call.idempotent && this.maySendAgain(true);
   }
 
   private mayFollowUnknown(end: AttemptEnd & { type: 'unknown' }): boolean {
@@ -205,19 +209,33 @@
     return isEarly && this.busyGates < MAX_BUSY_GATES;
   }
 
+  /** A plain success at the first gate is routine; everything else is worth a line of a higher level. */
   private logEnd(view: GateView, end: AttemptEnd): void {
+    const { log } = this.options;
     const isPlain = end.type === 'answered' && end.answer.status < SERVER_ERROR;
-    if (isPlain && this.tried.size === 1) return;
-    const { report, reportedAtMs } = view;
-    this.options.log.info('attempt-ended', {
-      call: this.routed.id,
-      service: this.routed.call.service,
-      gate: view.memberId,
+    const write = isPlain && this.tried.size === 1 ? log.debug : log.info;
+    write('attempt-ended', this.buildEndFields(view, end));
+  }
+
+  private buildEndFields({ memberId, report, reportedAtMs }: GateView, end: AttemptEnd): LogFields {
+    const { id, call, startedAtMs, targetAtMs } = this.routed;
+    const nowMs = this.options.clock();
+    const isAnswered = end.type === 'answered';
+    return {
+      call: id,
+      service: call.service,
+      kind: call.kind,
+      attempt: this.tried.size,
+      gate: memberId,
       gateLoad: report.load,
-      gateAgeMs: Math.round(this.options.clock() - reportedAtMs),
+      gateAgeMs: Math.round(nowMs - reportedAtMs),
       outcome: end.type,
-      reason: end.type === 'answered' ? end.answer.status : end.reason,
-    });
+      reason: isAnswered ? end.answer.status : end.reason,
+      serviceMs: isAnswered ? Math.round(end.serviceMs) : undefined,
+      queuedMs: isAnswered ? Math.round(end.queuedMs) : undefined,
+      totalMs: Math.round(nowMs - startedAtMs),
+      targetMs: Math.round(targetAtMs - startedAtMs),
+    };
   }
 }
 
--- a/packages/relay/src/CactusdealRelayServiceTimes.ts
+++ b/packages/relay/src/CactusdealRelayServiceTimes.ts
@@ -38,13 +38,13 @@
       byKind.set(kind, computeAverage(byKind.get(kind), serviceMs));
       mean = computeAverage(mean, serviceMs);
     },
-    estimate,
+    estimate: computeExpectedMs,
     estimateDeviation: (kind, guessMs) =>
-      deviations.get(kind) ?? estimate(kind, guessMs) * FIRST_DEVIATION_PART,
+      deviations.get(kind) ?? computeExpectedMs(kind, guessMs) * FIRST_DEVIATION_PART,
     getMean: () => mean ?? FIRST_MS,
   };
 
-  function estimate(kind: string, guessMs: number): number {
+  function computeExpectedMs(kind: string, guessMs: number): number {
     return byKind.get(kind) ?? Math.min(mean ?? FIRST_MS, guessMs);
   }
 }
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -156,6 +156,8 @@
       readonly serviceMs: number;
       /** Wait for a slot, in milliseconds. */
       readonly queuedMs: number;
+      /** Whether a call that the upstream made for this one was not served. */
+      readonly failedBelow: boolean;
     }
   | {
       readonly type: 'not-run';
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -36,7 +36,7 @@
   readonly source: ConfigurationSource;
   readonly registry: MemberRegistry;
   readonly countLostLines: () => number;
-  readonly retry?: Omit<RetryAccountOptions, 'clock'>;
+  readonly retry?: Partial<Omit<RetryAccountOptions, 'clock'>>;
 }
 
 /** A running relay. */
@@ -151,6 +151,7 @@
     clock,
     log,
     isRunning: (callId) => gate.isRunning(callId),
+    recordFailureBelow: (callId) => gate.recordFailureBelow(callId),
     recordCall: metrics.recordCall,
   });
   const limits = configurations.get()?.limits;
--- a/packages/relay/src/__tests__/CactusdealRelayWorld.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayWorld.ts
@@ -10,7 +10,7 @@
 import { waitMs } from '@cactusdeal/shared';
 import type { ConfigurationSource, MemberRegistry } from '../CactusdealRelayPorts.js';
 import type { HeaderNames, Member, RelayConfiguration } from '../CactusdealRelayTypes.js';
-import { type Relay, startRelay } from '../CactusdealRelayWiring.js';
+import { type Relay, type RelayOptions, startRelay } from '../CactusdealRelayWiring.js';
 
 export const NAMES: HeaderNames = {
   callId: 'x-call',
@@ -19,12 +19,18 @@
   callerService: 'x-from',
   signature: 'x-signed',
   notRun: 'x-not-run',
-  parseParentId: (callId) => callId.split('.')[0],
+  parseParentId: (callId) => {
+    const end = callId.lastIndexOf('.');
+    return end > 0 ? callId.slice(0, end) : undefined;
+  },
 };
 
 /** Time that a host's daemon has to stop, in milliseconds. */
 export const GRACE_MS = 400;
 
+/** So many that tests of single calls do not run out of them. */
+const MANY_RETRIES = { ratio: 1, repeatRatio: 1, reserve: 100, refillMs: 1_000 } as const;
+
 const PATIENCE_MS = 5_000;
 const POLL_MS = 5;
 
@@ -64,6 +70,7 @@
 export async function startWorld(
   configuration: RelayConfiguration,
   services: readonly string[],
+  retry: NonNullable<RelayOptions['retry']> = MANY_RETRIES,
 ): Promise<World> {
   const members: Member[] = [];
   const published = [configuration];
@@ -71,7 +78,9 @@
   const registry = createRegistry(members, () => world.observeRevoke());
   const servers: Server[] = [];
   const hosts = await Promise.all(
-    services.map((service, index) => startHost(service, index, source, registry, servers)),
+    services.map((service, index) =>
+      startHost(service, index, { source, registry, retry }, servers),
+    ),
   );
   hosts.forEach((host) => host.beat());
   await waitUntil(() => hosts.every(({ relay }) => relay.isReady()), 'ready');
@@ -102,8 +111,7 @@
 async function startHost(
   service: string,
   index: number,
-  source: ConfigurationSource,
-  registry: MemberRegistry,
+  parts: Pick<RelayOptions, 'source' | 'registry' | 'retry'>,
   servers: Server[],
 ): Promise<Host> {
   const id = `d${index}`;
@@ -123,10 +131,8 @@
     heartbeatMs: 60_000,
     graceMs: GRACE_MS,
     names: NAMES,
-    source,
-    registry,
+    ...parts,
     countLostLines: () => 0,
-    retry: { ratio: 1, repeatRatio: 1, reserve: 100, refillMs: 1_000 },
   });
   let sequence = 0;
   const host: Host = {
@@ -222,6 +228,7 @@
 }
 
 export interface CallOptions {
+  readonly id?: string;
   readonly method?: string;
   readonly path?: string;
   readonly host?: string;
@@ -231,15 +238,19 @@
 }
 
 /** Makes one call at a host's entry; rejects when the connection ends without an answer. */
-export function sendCall({ entryAddress }: Host, options: CallOptions = {}): Promise<CallerAnswer> {
-  const { method = 'GET', path = '/', host = 'a.example', leftMs = 2_000, body, signal } = options;
+export function sendCall(
+  { entryAddress }: Pick<Host, 'entryAddress'>,
+  options: CallOptions = {},
+): Promise<CallerAnswer> {
+  const { id = 'c1', method = 'GET', path = '/', host = 'a.example', leftMs = 2_000 } = options;
+  const { body, signal } = options;
   return new Promise((resolve, reject) => {
     const outgoing = request(
       `http://${entryAddress}${path}`,
       {
         method,
         agent: false,
-        headers: { host, [NAMES.callId]: 'c1', [NAMES.deadline]: String(leftMs) },
+        headers: { host, [NAMES.callId]: id, [NAMES.deadline]: String(leftMs) },
         ...(signal === undefined ? {} : { signal }),
       },
       (response) => {
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -100,6 +100,7 @@
     getReport: () => buildGateView().report,
     estimateServiceMs: () => 0,
     isRunning: () => false,
+    recordFailureBelow: () => {},
     drain: () => {},
     close: () => {},
   };
