Look at other data centres' gates only when the own ones do not do; tell load only when it matters

Cause: each call built a view of every gate of its service in all data centres, 35 on eighty machines, and used those of its own; each gate told its load and its word from the platform to all of its data centre twice a second, idle or not. Change: the balancer asks for the gates of other data centres only when none of the own answers in time. A gate below 0.4 of its slots tells nothing between answers; only daemons that read the platform repeat their word, once a second.

--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -5,7 +5,6 @@
   readonly memberId: string;
   /** Whether it belongs to the entry's own daemon. */
   readonly isOwn: boolean;
-  readonly dataCentre: string;
   readonly report: GateReport;
   /** When the report came, by the entry's clock. */
   readonly reportedAtMs: number;
@@ -29,8 +28,8 @@
 
 /** What a choice depends on. */
 export interface ChoiceInput {
-  readonly gates: readonly GateView[];
-  readonly dataCentre: string;
+  /** Lists the gates of the service in the own data centre, or those in others. */
+  readonly listGates: (isLocal: boolean) => readonly GateView[];
   /** Gates that this call has been at, by member id. */
   readonly tried: ReadonlySet<string>;
   /** 0 is the most urgent. */
@@ -73,33 +72,27 @@
  * just refused the like is not asked again: its answer is known.
  */
 export function chooseGate(input: ChoiceInput): Choice {
-  const open = input.gates.filter(
-    (gate) =>
-      gate.report.open && gate.avoidedUntilMs <= input.nowMs && !input.tried.has(gate.memberId),
-  );
-  if (open.length === 0) return { type: 'none' };
-  const asked = open.filter((gate) => !isRefusing(gate, input));
-  const gate = chooseAmong(asked, input);
-  return gate === undefined ? { type: 'busy' } : { type: 'gate', gate };
-}
-
-function isRefusing({ refusal }: GateView, { nowMs, targetMs }: ChoiceInput): boolean {
-  if (refusal === undefined || nowMs - refusal.atMs > REFUSAL_MS) return false;
-  return targetMs <= refusal.targetMs;
-}
-
-function chooseAmong(open: readonly GateView[], input: ChoiceInput): GateView | undefined {
-  const local = findSoonest(open, input, (gate) => gate.dataCentre === input.dataCentre);
+  const local = findSoonest(true, input);
   const part = input.priority === 0 ? URGENT_TARGET_PART : LOCAL_TARGET_PART;
-  if (local !== undefined && local.answerMs <= input.targetMs * part) {
-    return local.gate;
+  if (local.best !== undefined && local.best.answerMs <= input.targetMs * part) {
+    return { type: 'gate', gate: local.best.gate };
   }
-  const remote = findSoonest(open, input, (gate) => gate.dataCentre !== input.dataCentre);
-  if (remote === undefined) return local?.gate;
-  if (local === undefined) return remote.gate;
+  const remote = findSoonest(false, input);
+  const best = chooseBetween(local.best, remote.best, input);
+  if (best !== undefined) return { type: 'gate', gate: best.gate };
+  return { type: local.isOpen || remote.isOpen ? 'busy' : 'none' };
+}
+
+/** Another data centre only when it answers sooner and in time. */
+function chooseBetween(
+  local: Expected | undefined,
+  remote: Expected | undefined,
+  { targetMs }: ChoiceInput,
+): Expected | undefined {
+  if (local === undefined || remote === undefined) return local ?? remote;
   const isWorthIt =
-    remote.answerMs <= input.targetMs * REMOTE_TARGET_PART && remote.answerMs < local.answerMs;
-  return isWorthIt ? remote.gate : local.gate;
+    remote.answerMs <= targetMs * REMOTE_TARGET_PART && remote.answerMs < local.answerMs;
+  return isWorthIt ? remote : local;
 }
 
 interface Expected {
@@ -107,22 +100,36 @@
   readonly answerMs: number;
 }
 
-function findSoonest(
-  gates: readonly GateView[],
-  input: ChoiceInput,
-  accept: (gate: GateView) => boolean,
-): Expected | undefined {
+interface Soonest {
+  /** Whether there is a gate that may be asked or has just refused. */
+  readonly isOpen: boolean;
+  readonly best: Expected | undefined;
+}
+
+function findSoonest(isLocal: boolean, input: ChoiceInput): Soonest {
   let best: Expected | undefined;
-  gates.forEach((gate) => {
-    if (!accept(gate)) return;
-    const answerMs = computeAnswerMs(gate, input);
+  let isOpen = false;
+  input.listGates(isLocal).forEach((gate) => {
+    if (!isAskable(gate, input)) return;
+    isOpen = true;
+    if (isRefusing(gate, input)) return;
+    const answerMs = computeAnswerMs(gate, input, isLocal);
     if (best === undefined || answerMs < best.answerMs) best = { gate, answerMs };
   });
-  return best;
+  return { isOpen, best };
+}
+
+function isAskable(gate: GateView, { nowMs, tried }: ChoiceInput): boolean {
+  return gate.report.open && gate.avoidedUntilMs <= nowMs && !tried.has(gate.memberId);
+}
+
+function isRefusing({ refusal }: GateView, { nowMs, targetMs }: ChoiceInput): boolean {
+  if (refusal === undefined || nowMs - refusal.atMs > REFUSAL_MS) return false;
+  return targetMs <= refusal.targetMs;
 }
 
 /** Time until the gate would have answered, in milliseconds, a little randomized. */
-export function computeAnswerMs(gate: GateView, input: ChoiceInput): number {
+function computeAnswerMs(gate: GateView, input: ChoiceInput, isLocal: boolean): number {
   const { report, serviceMs } = gate;
   const ageMs = input.nowMs - gate.reportedAtMs;
   const faded = report.load * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
@@ -131,7 +138,7 @@
   const waitMs = Math.max(0, load + 1 - capacity) * (report.serviceMs / capacity);
   const crowding = (load / capacity) * serviceMs * 0.1;
   const failing = 1 + FAILURE_PENALTY * report.failureRate;
-  const distanceMs = gate.dataCentre === input.dataCentre ? 0 : REMOTE_MS;
+  const distanceMs = isLocal ? 0 : REMOTE_MS;
   const daemonMs = gate.isOwn ? 0 : SECOND_DAEMON_MS;
   const wayMs = Math.max(distanceMs, gate.overheadMs) + daemonMs;
   const noise = 1 + 0.05 * input.random();
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -50,12 +50,18 @@
   readonly unserved: Map<number, GateCall>;
   readonly readAhead: ReadAhead;
   isLocal: boolean;
+  /** Load that the other side was told last. */
+  toldLoad: number;
 }
 
-/** Time between reports to daemons of the own data centre, in milliseconds. */
+/** Time between looks at what daemons of the own data centre have not been told, in milliseconds. */
 const LOCAL_REPORT_MS = 500;
-/** Time between reports to other data centres, over links that are dear. */
+/** Time between reports to other data centres, over links that are dear; also the longest silence of any link. */
 const REMOTE_REPORT_MS = 10_000;
+/** Time between words of a daemon that reads the platform, in milliseconds. */
+const READER_STATUS_MS = 1_000;
+/** Load below this part of the slots changes no choice, and is not told. */
+const QUIET_PART = 0.4;
 
 /** Starts listening; rejects when the address is taken. */
 export async function startLinkListener(options: LinkListenerOptions): Promise<LinkListener> {
@@ -65,16 +71,13 @@
   });
   await startListening(server, options.self.address);
   const timers = [
-    setInterval(() => pushTo((link) => link.isLocal), LOCAL_REPORT_MS),
-    setInterval(() => pushTo((link) => !link.isLocal), REMOTE_REPORT_MS),
+    setInterval(pushNews, LOCAL_REPORT_MS),
+    setInterval(pushReaderStatus, READER_STATUS_MS),
+    setInterval(() => pushReport(() => true), REMOTE_REPORT_MS),
   ];
   return {
-    pushReport: () => {
-      writeAll(encodeMessage(toReportMessage(options.gate.getReport())), () => true);
-    },
-    pushStatus: () => {
-      writeAll(encodeMessage(toStatusMessage(options.getStatus())), (link) => link.isLocal);
-    },
+    pushReport: () => pushReport(() => true),
+    pushStatus,
     countCalls: () => [...links].reduce((sum, link) => sum + link.calls.size, 0),
     close: () => {
       timers.forEach(clearInterval);
@@ -85,17 +88,34 @@
     },
   };
 
-  function pushTo(accept: (link: Accepted) => boolean): void {
-    const report = encodeMessage(toReportMessage(options.gate.getReport()));
-    const status = encodeMessage(toStatusMessage(options.getStatus()));
-    writeAll(Buffer.concat([report, status]), accept);
+  /** An idle gate has nothing to tell, and a busy one tells its load with each answer too. */
+  function pushNews(): void {
+    const { load, capacity } = options.gate.getReport();
+    const quietLoad = capacity * QUIET_PART;
+    pushReport(({ isLocal, toldLoad }) => isLocal && Math.max(load, toldLoad) > quietLoad);
+  }
+
+  function pushReport(accept: (link: Accepted) => boolean): void {
+    const report = options.gate.getReport();
+    const frame = encodeMessage(toReportMessage(report));
+    links.forEach((held) => {
+      const link = held;
+      if (!accept(link)) return;
+      link.toldLoad = report.load;
+      link.socket.write(frame);
+    });
   }
 
-  function writeAll(frame: Buffer, accept: (link: Accepted) => boolean): void {
-    links.forEach((link) => {
-      if (accept(link)) link.socket.write(frame);
+  function pushStatus(): void {
+    const frame = encodeMessage(toStatusMessage(options.getStatus()));
+    links.forEach(({ isLocal, socket }) => {
+      if (isLocal) socket.write(frame);
     });
   }
+
+  function pushReaderStatus(): void {
+    if (options.getStatus().platformAgeMs >= 0) pushStatus();
+  }
 }
 
 function acceptLink(options: LinkListenerOptions, links: Set<Accepted>, socket: Socket): void {
@@ -105,6 +125,7 @@
     unserved: new Map(),
     readAhead: createReadAhead(),
     isLocal: false,
+    toldLoad: 0,
   };
   links.add(link);
   const read = createMessageReader((message) => receive(options, link, message));
@@ -176,15 +197,18 @@
 
 function serveCall(
   { gate }: LinkListenerOptions,
-  link: Accepted,
+  held: Accepted,
   id: number,
   call: GateCall,
 ): void {
+  const link = held;
   const attempt = gate.serve(call);
   link.calls.set(id, attempt);
   void attempt.end.then((end) => {
     link.calls.delete(id);
-    write(link, toEndMessage(id, end, gate.getReport()));
+    const report = gate.getReport();
+    link.toldLoad = report.load;
+    write(link, toEndMessage(id, end, report));
   });
 }
 
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -13,12 +13,21 @@
   replace(listed: readonly Member[]): void;
   find(id: string): Peer | undefined;
   list(): readonly Peer[];
-  /** Gates of the service, with what is expected of them for a kind of call. */
-  listGates(service: string, kind: string, guessMs: number): readonly GateView[];
+  /** Gates in the own data centre, or in others, that fit. */
+  listGates(wanted: GateQuery, isLocal: boolean): readonly GateView[];
   countConnected(): number;
   close(): void;
 }
 
+/** Which gates are looked for, and what is to be expected of them. */
+export interface GateQuery {
+  readonly service: string;
+  /** Kind of the call. */
+  readonly kind: string;
+  /** Most that the kind is taken to need where it was never seen, in milliseconds. */
+  readonly guessMs: number;
+}
+
 export interface MembersOptions {
   readonly self: Member;
   readonly getStatus: () => Status;
@@ -43,10 +52,11 @@
     },
     find: (id) => peers.get(id),
     list: () => [...peers.values()],
-    listGates: (service, kind, guessMs) => {
+    listGates: ({ service, kind, guessMs }, isLocal) => {
       const views: GateView[] = [];
       peers.forEach((peer) => {
-        const view = peer.getService() === service ? peer.getView(kind, guessMs) : undefined;
+        if (peer.getService() !== service || isNear(peer) !== isLocal) return;
+        const view = peer.getView(kind, guessMs);
         if (view !== undefined) views.push(view);
       });
       return views;
@@ -59,6 +69,10 @@
     },
   };
 
+  function isNear({ member }: Peer): boolean {
+    return member.dataCentre === options.self.dataCentre;
+  }
+
   function add(member: Member): void {
     if (member.id === options.self.id) return;
     const known = peers.get(member.id);
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -133,16 +133,14 @@
 
   public getView(kind: string, guessMs: number): GateView | undefined {
     if (this.socket === undefined || this.report === undefined) return undefined;
-    const { id, dataCentre } = this.member;
     const { report, reportedAtMs, unreported } = this;
     const avoidedUntilMs = this.isDoubtful() ? Infinity : this.avoidedUntilMs;
     const serviceMs = this.pace.getServiceMs(kind) ?? Math.min(report.serviceMs, guessMs);
     const overheadMs = this.pace.getOverheadMs();
     const refusal = this.refusals.get(kind);
     return {
-      memberId: id,
+      memberId: this.member.id,
       isOwn: false,
-      dataCentre,
       report,
       reportedAtMs,
       unreported,
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -1,7 +1,7 @@
 import type { Clock, Log, LogFields, Random } from '@cactusdeal/shared';
 import { type Choice, chooseGate, type GateView } from './CactusdealRelayBalancer.js';
 import type { Gate } from './CactusdealRelayGate.js';
-import type { Members } from './CactusdealRelayMembers.js';
+import type { GateQuery, Members } from './CactusdealRelayMembers.js';
 import type { RetryAccount } from './CactusdealRelayRetryAccount.js';
 import { computeGuessMs } from './CactusdealRelayServiceTimes.js';
 import {
@@ -119,37 +119,41 @@
   }
 
   private choose(nowMs: number): Choice {
-    const { self, gate, members, random } = this.options;
-    const { service, kind } = this.routed.call;
+    const { members, random } = this.options;
+    const { service, kind, priority } = this.routed.call;
     const targetMs = this.routed.targetAtMs - nowMs;
-    const guessMs = computeGuessMs(targetMs);
-    const gates = [...members.listGates(service, kind, guessMs)];
-    const report = gate.getReport();
-    if (report.service === service) {
-      gates.push({
-        memberId: self.id,
-        isOwn: true,
-        dataCentre: self.dataCentre,
-        report,
-        reportedAtMs: nowMs,
-        unreported: 0,
-        avoidedUntilMs: 0,
-        refusal: undefined,
-        serviceMs: gate.estimateServiceMs(kind, guessMs),
-        overheadMs: 0,
-      });
-    }
+    const query = { service, kind, guessMs: computeGuessMs(targetMs) };
     return chooseGate({
-      gates,
-      dataCentre: self.dataCentre,
+      listGates: (isLocal) => {
+        const own = isLocal ? this.buildOwnView(query, nowMs) : undefined;
+        const others = members.listGates(query, isLocal);
+        return own === undefined ? others : [own, ...others];
+      },
       tried: this.tried,
-      priority: this.routed.call.priority,
+      priority,
       targetMs,
       nowMs,
       random,
     });
   }
 
+  private buildOwnView({ service, kind, guessMs }: GateQuery, nowMs: number): GateView | undefined {
+    const { self, gate } = this.options;
+    const report = gate.getReport();
+    if (report.service !== service) return undefined;
+    return {
+      memberId: self.id,
+      isOwn: true,
+      report,
+      reportedAtMs: nowMs,
+      unreported: 0,
+      avoidedUntilMs: 0,
+      refusal: undefined,
+      serviceMs: gate.estimateServiceMs(kind, guessMs),
+      overheadMs: 0,
+    };
+  }
+
   private async attempt(view: GateView, nowMs: number): Promise<AttemptEnd> {
     const { self, gate, members } = this.options;
     const { call, targetAtMs, deadlineAtMs } = this.routed;
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -46,7 +46,6 @@
   return {
     memberId: 'd1',
     isOwn: false,
-    dataCentre: 'west',
     reportedAtMs: 0,
     unreported: 0,
     avoidedUntilMs: 0,
--- a/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
@@ -5,16 +5,28 @@
 
 interface Case {
   readonly name: string;
-  readonly gates: readonly GateView[];
+  readonly gates: readonly Placed[];
   readonly input?: Partial<ChoiceInput>;
   /** Id of the gate, or why there is none. */
   readonly expected: string;
 }
 
-const near = (changes: Parameters<typeof buildGateView>[0] = {}): GateView =>
-  buildGateView({ memberId: 'near', dataCentre: 'west', ...changes });
-const far = (changes: Parameters<typeof buildGateView>[0] = {}): GateView =>
-  buildGateView({ memberId: 'far', dataCentre: 'east', ...changes });
+type Changes = Parameters<typeof buildGateView>[0];
+
+/** A gate and whether it is in the own data centre. */
+interface Placed {
+  readonly view: GateView;
+  readonly isLocal: boolean;
+}
+
+const near = (changes: Changes = {}): Placed => ({
+  view: buildGateView({ memberId: 'near', ...changes }),
+  isLocal: true,
+});
+const far = (changes: Changes = {}): Placed => ({
+  view: buildGateView({ memberId: 'far', ...changes }),
+  isLocal: false,
+});
 
 const cases: readonly Case[] = [
   { name: 'takes none when there is none', gates: [], expected: 'none' },
@@ -107,8 +119,8 @@
   cases.forEach(({ name, gates, input, expected }) => {
     it(name, () => {
       const chosen = chooseGate({
-        gates,
-        dataCentre: 'west',
+        listGates: (isLocal) =>
+          gates.filter((gate) => gate.isLocal === isLocal).map(({ view }) => view),
         tried: new Set(),
         priority: 1,
         targetMs: 500,
--- a/packages/relay/src/bench/CactusdealRelayBenchOverloadPolicies.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchOverloadPolicies.ts
@@ -70,8 +70,8 @@
     const nowMs = timeline.getNowMs();
     const targetMs = call.firstAtMs + call.kind.targetMs - nowMs;
     const choice = chooseGate({
-      gates: gates.filter(isOfService).map((gate) => buildView(gate, call, targetMs)),
-      dataCentre: call.dataCentre,
+      listGates: (isLocal) =>
+        listGates(call, isLocal).map((gate) => buildView(gate, call, targetMs)),
       tried,
       priority: call.kind.priority,
       targetMs,
@@ -88,10 +88,12 @@
       if (next.size < MAX_GATES) tryGate(call, next);
       else world.refuse(call, retryAfterMs);
     });
+  }
 
-    function isOfService({ plan }: SimulatedGate): boolean {
-      return plan.service === call.kind.service;
-    }
+  function listGates({ kind, dataCentre }: SimulatedCall, isLocal: boolean): SimulatedGate[] {
+    return gates.filter(
+      ({ plan }) => plan.service === kind.service && (plan.dataCentre === dataCentre) === isLocal,
+    );
   }
 
   function buildView(
@@ -102,7 +104,6 @@
     return {
       memberId: plan.id,
       isOwn: false,
-      dataCentre: plan.dataCentre,
       report: {
         service: plan.service,
         open: true,
