Add cactusctl explain: a call's way and end from the daemons' own lines

Change: `cactusctl explain ID [files]` reads log files or the standard input, orders the events of the call, of the calls that its upstream made for it and of what the daemons on its way believed, and says in a line what it came to; `--json` gives the events. Exit code 1 when no line names the call.

--- a/packages/client/src/CactusdealClientCommands.ts
+++ b/packages/client/src/CactusdealClientCommands.ts
@@ -2,12 +2,13 @@
 import type { Intent, Plan } from '@cactusdeal/schema';
 import type { Failure } from '@cactusdeal/shared';
 import { cac } from 'cac';
-import { type Either, Right } from 'purify-ts';
+import { type Either, Left, Right } from 'purify-ts';
 import {
   createDaemonClient,
   type DaemonClient,
   type DaemonFailure,
 } from './CactusdealClientDaemon.js';
+import { explainCall, formatExplanation } from './CactusdealClientExplain.js';
 import { formatPlan, formatValue } from './CactusdealClientFormat.js';
 import {
   buildRouteIntent,
@@ -20,10 +21,12 @@
   wrapOperation,
 } from './CactusdealClientIntents.js';
 
+import { readLogEvents } from './CactusdealClientLogLines.js';
+
 /** Exit codes of `cactusctl`. */
 export const ExitCode = {
   Done: 0,
-  /** The daemon refused; nothing was written. */
+  /** The daemon refused, or the logs do not know the call; nothing was written. */
   Refused: 1,
   /** The command line is wrong; nothing was sent. */
   Usage: 2,
@@ -40,7 +43,9 @@
   readonly printError: (line: string) => void;
 }
 
-type CommandFailure = UsageFailure | DaemonFailure;
+/** The logs name no such call. */
+type ExplainFailure = Failure<'CallUnknown'>;
+type CommandFailure = UsageFailure | DaemonFailure | ExplainFailure;
 type CommandResult = Either<CommandFailure, { readonly value: unknown; readonly text: string }>;
 type Command = (daemon: DaemonClient, flags: Flags) => Promise<CommandResult>;
 
@@ -56,6 +61,7 @@
   };
   registerIntents(program, choose);
   registerReads(program, choose);
+  registerExplain(program, choose);
   program.option('--daemon <address>', 'Admin address of a daemon', { default: DEFAULT_DAEMON });
   program.option('--operator <name>', 'Name that the log keeps', { default: userInfo().username });
   program.option('--json', 'Print JSON');
@@ -90,6 +96,7 @@
   output.printError(
     flags.json ? JSON.stringify(failure) : `refused: ${failure.kind}: ${failure.message}`,
   );
+  if (failure.kind === 'CallUnknown') return ExitCode.Refused;
   if (!('source' in failure)) return ExitCode.Usage;
   if (failure.source === 'refused') {
     return failure.status === UNKNOWN_STATUS ? ExitCode.Unknown : ExitCode.Refused;
@@ -221,6 +228,28 @@
   registerRead('show', 'The configuration that the daemon holds', '/v1/snapshot');
 }
 
+function registerExplain(
+  program: ReturnType<typeof cac>,
+  choose: (command: Command, flags: Flags) => void,
+): void {
+  program
+    .command('explain <call> [...files]', "A call's way and end, from log files or standard input")
+    .action((call: string, files: readonly string[], flags: Flags) => {
+      choose(() => explainFromLogs(String(call), files.map(String)), flags);
+    });
+}
+
+async function explainFromLogs(call: string, files: readonly string[]): Promise<CommandResult> {
+  const events = await readLogEvents(files);
+  if (events.isLeft()) return events;
+  const explanation = explainCall(events.unsafeCoerce(), call);
+  if (explanation === undefined) {
+    const message = `no line of these logs names the call ${call}`;
+    return Left({ kind: 'CallUnknown', message });
+  }
+  return Right({ value: explanation, text: formatExplanation(explanation) });
+}
+
 async function readPath(daemon: DaemonClient, path: string): Promise<CommandResult> {
   const answer = await daemon.get(path);
   return answer.chain((value) => Right({ value, text: formatValue(value) }));
