--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -16,6 +16,8 @@
    * Whether a call may safely run more than once, so that it may be retried after it may have run.
    */
   readonly idempotent: boolean;
+  /** Whether its answers are so large that their transfer time matters. */
+  readonly hasLargeAnswers: boolean;
   /** Time after which the caller gets an error, in milliseconds. */
   readonly timeoutMs: number;
   /** Latency target, in milliseconds: a later answer is worth less to the caller. */
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -7,6 +7,7 @@
     host: 'a.example',
     prefix: '/',
     idempotent: true,
+    hasLargeAnswers: false,
     timeoutMs: 1_000,
     targetMs: 500,
     priority: 1,
