Bound links, registration and what an upstream or a peer may send

A large answer went as one message, so that small calls waited behind it on links of 12 Mbit/s. An endless status line took 848 MB in 4 s until the call's deadline. Change: LinkPlan chooses 3 gates of each service in each other data centre (32 in the own one) and the lowest ids, ranked by a hash, and keeps open links; a daemon answering at another's address is refused. The record has no lease, is written only when missing and removed at the stop, or by the lowest id of the data centre 60 s after the link was lost; lists may be old. Answers above 16 KB go in pieces, in turn. Result: relay and platform tests 247 passed; the test of the status line fails without the byte check.

--- a/packages/relay/src/CactusdealRelayFrames.ts
+++ b/packages/relay/src/CactusdealRelayFrames.ts
@@ -14,13 +14,14 @@
   Status: 9,
   ConfigurationRequest: 10,
   Configuration: 11,
+  AnswerPiece: 12,
 } as const;
 
 /** A message on a link: its kind, then its fields in a fixed order. */
 export type Message = readonly [kind: number, ...fields: unknown[]];
 
 /** Largest message accepted, in bytes; a larger one ends the link. */
-export const MAX_MESSAGE_BYTES = 128 * 1024 * 1024;
+export const MAX_MESSAGE_BYTES = 72 * 1024 * 1024;
 
 const LENGTH_BYTES = 4;
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false, structuredClone: false });
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -8,7 +8,8 @@
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
 import { createDeferredTasks, type DeferredTasks } from './CactusdealRelayDeferredTasks.js';
-import type { Attempt, GateCall, Member } from './CactusdealRelayTypes.js';
+import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
+import type { Attempt, AttemptEnd, GateCall, GateReport, Member } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
   parseCall,
@@ -48,6 +49,7 @@
 /** A link that another daemon has opened. */
 interface AcceptedLink {
   readonly socket: Socket;
+  readonly writer: LinkWriter;
   readonly activeCalls: Map<number, Attempt>;
   /** Calls that are not served yet, because a cancellation may have arrived with them. */
   readonly heldCalls: Map<number, GateCall>;
@@ -71,6 +73,8 @@
  */
 const MIN_REPORTED_LOAD_FRACTION = 0.4;
 
+const NO_BODY = new Uint8Array(0);
+
 /** Starts listening; rejects when the address is taken. */
 export async function startLinkListener(options: LinkListenerOptions): Promise<LinkListener> {
   const links = new Set<AcceptedLink>();
@@ -132,6 +136,7 @@
 function acceptLink(options: LinkListenerOptions, links: Set<AcceptedLink>, socket: Socket): void {
   const link: AcceptedLink = {
     socket,
+    writer: createLinkWriter(socket),
     activeCalls: new Map(),
     heldCalls: new Map(),
     deferredTasks: createDeferredTasks(),
@@ -203,7 +208,9 @@
 }
 
 function cancelCall(link: AcceptedLink, id: number): void {
-  if (!link.heldCalls.delete(id)) link.activeCalls.get(id)?.cancel();
+  if (link.heldCalls.delete(id)) return;
+  link.activeCalls.get(id)?.cancel();
+  link.writer.discard(id);
 }
 
 function serveCall(
@@ -219,12 +226,21 @@
     link.activeCalls.delete(id);
     const report = gate.getReport();
     link.reportedLoad = report.load;
-    write(link, toEndMessage(id, end, report));
+    writeEnd(link, id, end, report);
   });
 }
 
-function write({ socket }: AcceptedLink, message: Message): void {
-  if (!socket.destroyed) socket.write(encodeMessage(message));
+function writeEnd({ writer }: AcceptedLink, id: number, end: AttemptEnd, report: GateReport): void {
+  if (end.type !== 'answered' || end.answer.body.byteLength <= PIECE_BYTES) {
+    writer.write(toEndMessage(id, end, report));
+    return;
+  }
+  const endWithoutBody = { ...end, answer: { ...end.answer, body: NO_BODY } };
+  writer.writeLarge(id, end.answer.body, toEndMessage(id, endWithoutBody, report));
+}
+
+function write({ writer }: AcceptedLink, message: Message): void {
+  writer.write(message);
 }
 
 function startListening(server: Server, address: string): Promise<void> {
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayLinkPlan.ts
@@ -0,0 +1,109 @@
+import type { Member } from './CactusdealRelayTypes.js';
+
+/** A known daemon, as far as the choice of links depends on it. */
+export interface LinkCandidate {
+  readonly member: Member;
+  readonly state: LinkState;
+}
+
+/** State of the link to a known daemon. */
+export const LinkState = {
+  /** There is no link and none is being opened. */
+  None: 'none',
+  /** The link is open, or its first attempts to connect have not failed for long. */
+  Usable: 'usable',
+  /** Connecting has failed for some time. */
+  Failing: 'failing',
+} as const;
+export type LinkState = (typeof LinkState)[keyof typeof LinkState];
+
+/** Most gates of each service in the own data centre to which a daemon keeps links. */
+const LOCAL_GATES_PER_SERVICE = 32;
+/** Most gates of each service in each other data centre to which a daemon keeps links. */
+const REMOTE_GATES_PER_SERVICE = 3;
+/** Daemons of the own data centre, lowest ids first, that every daemon of it is linked to. */
+const LOWEST_IDS = 6;
+
+/**
+ * Chooses the daemons to which `self` keeps links; returns their ids.
+ *
+ * Load pattern: a fleet in which links to all others would cost each daemon memory, reports and
+ * connections in proportion to its size. A call needs a choice among a few gates of each service in
+ * each data centre, so the number of links depends on services and data centres only. Each daemon
+ * ranks the others by a hash of both ids, which spreads the links of all daemons over all gates.
+ * Usable links are kept, so that a newcomer moves no link; a failing one is kept as well but does not
+ * count, so that another gate takes its place.
+ */
+export function chooseLinks(
+  self: Member,
+  candidates: readonly LinkCandidate[],
+): ReadonlySet<string> {
+  const chosen = new Set<string>();
+  listLowestIds(self, candidates).forEach((id) => chosen.add(id));
+  groupByService(candidates).forEach((group) => {
+    const isLocal = group[0]?.member.dataCentre === self.dataCentre;
+    const limit = isLocal ? LOCAL_GATES_PER_SERVICE : REMOTE_GATES_PER_SERVICE;
+    pickFromGroup(self, group, limit).forEach((id) => chosen.add(id));
+  });
+  return chosen;
+}
+
+/** The daemons of the own data centre from which its readers come. */
+function listLowestIds(self: Member, candidates: readonly LinkCandidate[]): readonly string[] {
+  return candidates
+    .filter(({ member, state }) => {
+      return member.dataCentre === self.dataCentre && state !== LinkState.Failing;
+    })
+    .map(({ member }) => member.id)
+    .sort()
+    .slice(0, LOWEST_IDS);
+}
+
+/** Groups by data centre and service. */
+function groupByService(candidates: readonly LinkCandidate[]): readonly LinkCandidate[][] {
+  const groups = new Map<string, LinkCandidate[]>();
+  candidates.forEach((candidate) => {
+    const { dataCentre, service } = candidate.member;
+    const key = `${dataCentre}\n${service}`;
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [candidate]);
+    else group.push(candidate);
+  });
+  return [...groups.values()];
+}
+
+function pickFromGroup(
+  self: Member,
+  group: readonly LinkCandidate[],
+  limit: number,
+): readonly string[] {
+  const listIds = (state: LinkState): string[] =>
+    group.filter((candidate) => candidate.state === state).map(({ member }) => member.id);
+  const usable = rankByHash(self.id, listIds(LinkState.Usable)).slice(0, limit);
+  const missing = limit - usable.length;
+  const added = missing > 0 ? rankByHash(self.id, listIds(LinkState.None)).slice(0, missing) : [];
+  const failing = listIds(LinkState.Failing).slice(0, limit);
+  return [...usable, ...added, ...failing];
+}
+
+function rankByHash(selfId: string, ids: readonly string[]): string[] {
+  if (ids.length < 2) return [...ids];
+  return ids
+    .map((id) => ({ id, rank: computeHash(`${selfId}\n${id}`) }))
+    .sort((left, right) => left.rank - right.rank)
+    .map(({ id }) => id);
+}
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const MIX_FACTOR = 0x85ebca6b;
+
+/** 32-bit FNV-1a hash with a final mixing step, as ids differ in their last characters only. */
+function computeHash(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), MIX_FACTOR);
+  return (hash ^ (hash >>> 13)) >>> 0;
+}
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -1,11 +1,13 @@
 import type { Clock, Log } from '@cactusdeal/shared';
 import type { GateView } from './CactusdealRelayBalancer.js';
+import { chooseLinks, LinkState } from './CactusdealRelayLinkPlan.js';
 import { createPeer, type Peer, SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
+import { MAX_REMOVED_MEMBERS } from './CactusdealRelayPorts.js';
 import type { Member } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import type { Status } from './CactusdealRelayWire.js';
 
-/** The other daemons that this one knows, each with an outgoing link to it. */
+/** The other daemons that this one knows, with outgoing links to some of them. */
 export interface Members {
   /** Adds a daemon, or replaces it if its address has changed. */
   add(member: Member): void;
@@ -14,11 +16,18 @@
    * connected.
    */
   replace(listed: readonly Member[]): void;
+  /** Finds a daemon with a link. */
   find(id: string): Peer | undefined;
+  /** Lists the daemons with a link, open or being opened. */
   list(): readonly Peer[];
   /** Lists the gates of the service in the own data centre (local) or in all others. */
   listGates(query: GateQuery, isLocal: boolean): readonly GateView[];
   countConnected(): number;
+  /**
+   * Lists daemons of the own data centre that have had no link for `durationMs`, if this daemon has
+   * the lowest id of those that can be reached; at most `MAX_REMOVED_MEMBERS`.
+   */
+  listLost(durationMs: number): readonly string[];
   close(): void;
 }
 
@@ -43,19 +52,22 @@
   readonly log: Log;
 }
 
+/** Interval between checks of which daemons to keep links to. */
+const LINK_CHECK_MS = 1_000;
+
 export function createMembers(options: MembersOptions): Members {
+  const known = new Map<string, Member>();
   const peers = new Map<string, Peer>();
   // One timer for all links, so that the process is not woken once for each.
-  const timer = setInterval(() => peers.forEach((peer) => peer.checkSilence()), SILENCE_CHECK_MS);
+  const timers = [
+    setInterval(() => peers.forEach((peer) => peer.checkSilence()), SILENCE_CHECK_MS),
+    setInterval(updateLinks, LINK_CHECK_MS),
+  ];
   return {
-    add,
-    replace: (listed) => {
-      listed.forEach(add);
-      const ids = new Set(listed.map((member) => member.id));
-      peers.forEach((peer, id) => {
-        if (!ids.has(id) && !peer.isConnected()) remove(id, peer);
-      });
+    add: (member) => {
+      if (addKnown(member)) updateLinks();
     },
+    replace,
     find: (id) => peers.get(id),
     list: () => [...peers.values()],
     listGates: ({ service, kind, estimateCapMs }, isLocal) => {
@@ -68,29 +80,78 @@
       return views;
     },
     countConnected: () => [...peers.values()].filter((peer) => peer.isConnected()).length,
+    listLost,
     close: () => {
-      clearInterval(timer);
+      timers.forEach(clearInterval);
       peers.forEach((peer) => peer.close());
       peers.clear();
+      known.clear();
     },
   };
 
+  function listLost(durationMs: number): readonly string[] {
+    const local = [...peers.values()].filter(isLocalPeer);
+    const connected = local.filter((peer) => peer.isConnected());
+    // A daemon without links may be the one that is cut off.
+    if (connected.length === 0) return [];
+    if (connected.some(({ member }) => member.id < options.self.id)) return [];
+    return local
+      .filter((peer) => peer.getDisconnectedMs() > durationMs)
+      .map(({ member }) => member.id)
+      .slice(0, MAX_REMOVED_MEMBERS);
+  }
+
   function isLocalPeer({ member }: Peer): boolean {
     return member.dataCentre === options.self.dataCentre;
   }
 
-  function add(member: Member): void {
-    if (member.id === options.self.id) return;
-    const known = peers.get(member.id);
-    if (known?.member.address === member.address) return;
-    known?.close();
+  function replace(listed: readonly Member[]): void {
+    const ids = new Set(listed.map((member) => member.id));
+    listed.forEach(addKnown);
+    known.forEach((_, id) => {
+      if (!ids.has(id) && peers.get(id)?.isConnected() !== true) removeKnown(id);
+    });
+    updateLinks();
+  }
+
+  /** Remembers a daemon; false if it is already known at this address. */
+  function addKnown(member: Member): boolean {
+    if (member.id === options.self.id) return false;
+    if (known.get(member.id)?.address === member.address) return false;
     options.log.info('member-added', { member: member.id, address: member.address });
-    peers.set(member.id, createPeer({ ...options, member }));
+    removePeer(member.id);
+    known.set(member.id, member);
+    return true;
   }
 
-  function remove(id: string, peer: Peer): void {
+  function removeKnown(id: string): void {
     options.log.info('member-removed', { member: id });
-    peer.close();
+    removePeer(id);
+    known.delete(id);
+  }
+
+  /** Opens the links that the plan wants; closes the others once no call is under way on them. */
+  function updateLinks(): void {
+    const candidates = [...known.values()].map((member) => ({
+      member,
+      state: getLinkState(peers.get(member.id)),
+    }));
+    const chosen = chooseLinks(options.self, candidates);
+    peers.forEach((peer, id) => {
+      if (!chosen.has(id) && peer.isIdle()) removePeer(id);
+    });
+    known.forEach((member, id) => {
+      if (chosen.has(id) && !peers.has(id)) peers.set(id, createPeer({ ...options, member }));
+    });
+  }
+
+  function removePeer(id: string): void {
+    peers.get(id)?.close();
     peers.delete(id);
   }
 }
+
+function getLinkState(peer: Peer | undefined): LinkState {
+  if (peer === undefined) return LinkState.None;
+  return peer.isUsable() ? LinkState.Usable : LinkState.Failing;
+}
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -22,6 +22,7 @@
 import {
   parseEnd,
   parseHello,
+  parsePiece,
   parseReport,
   parseStatus,
   parseUpdate,
@@ -34,6 +35,12 @@
 export interface Peer {
   readonly member: Member;
   isConnected(): boolean;
+  /** Whether there is a link, or connecting has not failed for long. */
+  isUsable(): boolean;
+  /** Time without a link, in milliseconds; 0 while there is one. */
+  getDisconnectedMs(): number;
+  /** Whether no call that was sent is without its end. */
+  isIdle(): boolean;
   /**
    * The gate as known here; undefined until a report arrives. `estimateCapMs` bounds the service
    * time estimated for a kind without samples.
@@ -75,6 +82,10 @@
   readonly kind: string;
   readonly targetMs: number;
   readonly sentAtMs: number;
+  /** Pieces of a large answer that have arrived. */
+  readonly pieces: Uint8Array[];
+  /** Arrival of the first piece or, without pieces, of the end. */
+  answeredAtMs: number | undefined;
   settle(end: AttemptEnd): void;
 }
 
@@ -82,6 +93,8 @@
 export const SILENCE_CHECK_MS = 150;
 
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Time without a link after which another gate should take this one's place. */
+const FAILING_AFTER_MS = 2_500;
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_500;
 /** Silence with calls pending after which the peer is pinged. */
@@ -130,6 +143,8 @@
 
   private lastReceivedAtMs = 0;
 
+  private lastConnectedAtMs: number;
+
   private nextId = 1;
 
   private backoffMs = MIN_BACKOFF_MS;
@@ -137,6 +152,7 @@
   public constructor(private readonly options: PeerOptions) {
     this.member = options.member;
     this.latency = createGateLatency(options.clock);
+    this.lastConnectedAtMs = options.clock();
     void this.run();
   }
 
@@ -144,6 +160,18 @@
     return this.socket !== undefined;
   }
 
+  public isUsable(): boolean {
+    return this.getDisconnectedMs() < FAILING_AFTER_MS;
+  }
+
+  public getDisconnectedMs(): number {
+    return this.isConnected() ? 0 : this.options.clock() - this.lastConnectedAtMs;
+  }
+
+  public isIdle(): boolean {
+    return this.pendingCalls.size === 0;
+  }
+
   public getService(): string | undefined {
     return this.socket === undefined ? undefined : this.report?.service;
   }
@@ -230,6 +258,7 @@
   }
 
   private endLink(): void {
+    if (this.socket !== undefined) this.lastConnectedAtMs = this.options.clock();
     this.socket = undefined;
     this.report = undefined;
     this.status = undefined;
@@ -265,12 +294,14 @@
       case MessageKind.Unknown:
         this.receiveEnd(message);
         break;
+      case MessageKind.AnswerPiece:
+        this.receivePiece(message);
+        break;
       case MessageKind.Report:
         this.setReport(parseReport(message));
         break;
       case MessageKind.Hello:
-        this.backoffMs = MIN_BACKOFF_MS;
-        this.setStatus(parseHello(message).status);
+        this.receiveHello(message);
         break;
       case MessageKind.Status:
         this.setStatus(parseStatus(message));
@@ -282,6 +313,25 @@
     }
   }
 
+  /** A host's address may pass to another host, whose daemon must not be taken for this one. */
+  private receiveHello(message: Message): void {
+    const { member, status } = parseHello(message);
+    if (member.id !== this.member.id) {
+      this.socket?.destroy(new Error(`daemon ${member.id} answers at ${this.member.address}`));
+      return;
+    }
+    this.backoffMs = MIN_BACKOFF_MS;
+    this.setStatus(status);
+  }
+
+  private receivePiece(message: Message): void {
+    const { id, bytes } = parsePiece(message);
+    const pending = this.pendingCalls.get(id);
+    if (pending === undefined) return;
+    pending.answeredAtMs ??= this.options.clock();
+    pending.pieces.push(bytes);
+  }
+
   private receiveEnd(message: Message): void {
     const id = message[1] as number;
     if (this.report !== undefined) {
@@ -291,9 +341,9 @@
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
     this.pendingCalls.delete(id);
-    const end = parseEnd(message);
+    const end = addPieces(parseEnd(message), pending.pieces);
     if (end.type === 'answered') {
-      const elapsedMs = this.options.clock() - pending.sentAtMs;
+      const elapsedMs = (pending.answeredAtMs ?? this.options.clock()) - pending.sentAtMs;
       this.latency.recordAnswer(pending.kind, elapsedMs, end.serviceMs, end.queuedMs);
     } else if (end.type === 'not-run' && end.reason === NotRunReason.Busy) {
       const { kind, targetMs } = pending;
@@ -322,7 +372,14 @@
     const end = new Promise<AttemptEnd>((resolve) => {
       const { clock } = this.options;
       const { kind, targetMs } = call;
-      this.pendingCalls.set(id, { kind, targetMs, sentAtMs: clock(), settle: resolve });
+      this.pendingCalls.set(id, {
+        kind,
+        targetMs,
+        sentAtMs: clock(),
+        pieces: [],
+        answeredAtMs: undefined,
+        settle: resolve,
+      });
     });
     if (this.pendingCalls.size === 1) this.lastReceivedAtMs = this.options.clock();
     this.unreportedCalls += 1;
@@ -355,3 +412,9 @@
     this.stop.abort();
   }
 }
+
+/** Puts the pieces that went ahead of an answer in place of its body. */
+function addPieces(end: AttemptEnd, pieces: readonly Uint8Array[]): AttemptEnd {
+  if (end.type !== 'answered' || pieces.length === 0) return end;
+  return { ...end, answer: { ...end.answer, body: Buffer.concat(pieces) } };
+}
--- a/packages/relay/src/CactusdealRelayPorts.ts
+++ b/packages/relay/src/CactusdealRelayPorts.ts
@@ -9,8 +9,7 @@
   /** No answer arrived; the request may have taken effect. */
   Unknown: 'PlatformUnknown',
   /**
-   * What was requested no longer exists: the lease has expired, or the revision's history was
-   * discarded.
+   * What was requested no longer exists: the revision's history was discarded.
    */
   Gone: 'PlatformGone',
 } as const;
@@ -40,15 +39,13 @@
 
 /** Registry through which daemons discover one another. */
 export interface MemberRegistry {
-  /**
-   * Registers a daemon under a new lease of `leaseMs` and returns the lease's id; the entry lasts
-   * while the lease is renewed.
-   */
-  register(member: Member, leaseMs: number): Promise<Either<PlatformFault, string>>;
-  /** Renews a lease; `Gone` if it has expired. */
-  renew(leaseId: string): Promise<Either<PlatformFault, void>>;
-  /** Ends the lease, so that the daemon is no longer listed. */
-  revoke(leaseId: string): Promise<Either<PlatformFault, void>>;
-  /** Lists the registered daemons; the list may be some seconds old unless `isFresh`. */
-  list(isFresh: boolean): Promise<Either<PlatformFault, readonly Member[]>>;
+  /** Writes a daemon's record, which lasts until it is removed. */
+  register(member: Member): Promise<Either<PlatformFault, void>>;
+  /** Removes the records of the daemons with these ids, at most `MAX_REMOVED_MEMBERS`. */
+  remove(ids: readonly string[]): Promise<Either<PlatformFault, void>>;
+  /** Lists the registered daemons; the list may be some seconds old. */
+  list(): Promise<Either<PlatformFault, readonly Member[]>>;
 }
+
+/** Most records that are removed at once. */
+export const MAX_REMOVED_MEMBERS = 16;
--- a/packages/relay/src/CactusdealRelayRegistration.ts
+++ b/packages/relay/src/CactusdealRelayRegistration.ts
@@ -1,77 +1,102 @@
-import { type Log, type Random, waitMs } from '@cactusdeal/shared';
+import { type Clock, type Log, type Random, waitMs } from '@cactusdeal/shared';
 import type { Members } from './CactusdealRelayMembers.js';
-import {
-  type MemberRegistry,
-  type PlatformFault,
-  PlatformFaultKind,
-} from './CactusdealRelayPorts.js';
+import type { MemberRegistry, PlatformFault } from './CactusdealRelayPorts.js';
 import type { Member } from './CactusdealRelayTypes.js';
 
 /** Keeps this daemon registered and its list of the other daemons current. */
 export interface Registration {
-  /** Registers, renews the lease and lists the others periodically; resolves after `close`. */
+  /** Registers, then lists the others periodically; resolves after `close`. */
   run(members: Members): Promise<void>;
-  /** Stops renewing and revokes the lease. */
+  /** Stops and removes this daemon from the registry. */
   close(): Promise<void>;
 }
 
 export interface RegistrationOptions {
   readonly self: Member;
   readonly registry: MemberRegistry;
+  readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
 }
 
-const LEASE_MS = 30_000;
-/** Mean time between renewals; `run` adds jitter. */
-const RENEW_INTERVAL_MS = 9_000;
+/** Pauses between the first lists: daemons that start together are missing in an old copy. */
+const FIRST_PAUSES_MS: readonly number[] = [1_200, 2_500];
+/** Mean time between later lists; `run` adds jitter. Links bring the news that is urgent. */
+const LIST_INTERVAL_MS = 20_000;
+/** Greatest age of a list: a record written before it must be in it. */
+const MAX_LIST_AGE_MS = 10_000;
+/** Time without a link after which a daemon's record is removed on its behalf. */
+const LOST_AFTER_MS = 60_000;
 const MIN_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 2_000;
 
+/**
+ * Creates the registration of one daemon.
+ *
+ * Load pattern: a fleet that starts at once, and stays registered. A daemon writes its record once
+ * and only if it is missing, without a lease to renew, and reads lists that may be old. So the
+ * platform is asked for one write a daemon, and for cheap reads whose number does not depend on the
+ * calls that are served.
+ */
 export function createRegistration(options: RegistrationOptions): Registration {
-  const { self, registry, random, log } = options;
+  const { self, registry, clock, random, log } = options;
   const stop = new AbortController();
-  let leaseId: string | undefined;
+  let registeredAtMs: number | undefined;
   let backoffMs = MIN_BACKOFF_MS;
   return {
     run,
     close: async () => {
       stop.abort();
-      if (leaseId !== undefined) await registry.revoke(leaseId);
+      if (registeredAtMs !== undefined) await registry.remove([self.id]);
     },
   };
 
   async function run(members: Members): Promise<void> {
+    const pauses = [...FIRST_PAUSES_MS];
     while (!stop.signal.aborted) {
-      const isDone =
-        leaseId === undefined ? await register(members) : await renew(leaseId, members);
+      const isDone = await update(members);
       if (isDone) backoffMs = MIN_BACKOFF_MS;
-      const pauseMs = isDone ? RENEW_INTERVAL_MS : backoffMs;
+      const pauseMs = isDone ? (pauses.shift() ?? LIST_INTERVAL_MS) : backoffMs;
       if (!isDone) backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
       await waitMs(pauseMs * (0.8 + 0.4 * random()), stop.signal);
     }
   }
 
-  async function register(members: Members): Promise<boolean> {
-    const registered = await registry.register(self, LEASE_MS);
-    if (registered.isLeft()) return logFault('register', registered.swap().unsafeCoerce());
-    leaseId = registered.unsafeCoerce();
-    log.info('registered', { lease: leaseId });
-    return list(members, true);
+  /** Lists the registered daemons and corrects the registry; false if the platform fails. */
+  async function update(members: Members): Promise<boolean> {
+    const listed = await registry.list();
+    if (listed.isLeft()) return logFault('list', listed.swap().unsafeCoerce());
+    if (stop.signal.aborted) return true;
+    const registered = listed.unsafeCoerce();
+    members.replace(registered);
+    if (!(await registerIfMissing(registered))) return false;
+    return removeLost(members);
   }
 
-  async function renew(lease: string, members: Members): Promise<boolean> {
-    const renewed = await registry.renew(lease);
-    if (renewed.isRight()) return list(members, false);
-    const fault = renewed.swap().unsafeCoerce();
-    if (fault.kind === PlatformFaultKind.Gone) leaseId = undefined;
-    return logFault('renew', fault);
+  /** Another daemon may have removed the record while this one was cut off. */
+  async function registerIfMissing(registered: readonly Member[]): Promise<boolean> {
+    const isListed = registered.some(({ id, address }) => {
+      return id === self.id && address === self.address;
+    });
+    const isRecent = registeredAtMs !== undefined && clock() - registeredAtMs < MAX_LIST_AGE_MS;
+    if (isListed || isRecent) {
+      registeredAtMs ??= clock();
+      return true;
+    }
+    const written = await registry.register(self);
+    if (written.isLeft()) return logFault('register', written.swap().unsafeCoerce());
+    registeredAtMs = clock();
+    log.info('registered');
+    return true;
   }
 
-  async function list(members: Members, isFresh: boolean): Promise<boolean> {
-    const listed = await registry.list(isFresh);
-    if (listed.isLeft()) return logFault('list', listed.swap().unsafeCoerce());
-    if (!stop.signal.aborted) members.replace(listed.unsafeCoerce());
+  /** Removes the records of daemons that were lost without a stop, if that is this one's part. */
+  async function removeLost(members: Members): Promise<boolean> {
+    const lostIds = members.listLost(LOST_AFTER_MS);
+    if (lostIds.length === 0) return true;
+    const removed = await registry.remove(lostIds);
+    if (removed.isLeft()) return logFault('remove', removed.swap().unsafeCoerce());
+    log.info('lost-members-removed', { members: lostIds.join(' ') });
     return true;
   }
 
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -88,6 +88,8 @@
 export interface Member {
   readonly id: string;
   readonly dataCentre: string;
+  /** Service of the upstream on its host, by its settings. */
+  readonly service: string;
   /** Address of its link listener, `IP:PORT`. */
   readonly address: string;
 }
--- a/packages/relay/src/CactusdealRelayUpstream.ts
+++ b/packages/relay/src/CactusdealRelayUpstream.ts
@@ -1,8 +1,13 @@
-import { connect, type Socket } from 'node:net';
-import { type Clock, parseAddress } from '@cactusdeal/shared';
-import { Client, type Dispatcher } from 'undici';
-import { findField } from './CactusdealRelayHeaders.js';
+import type { Clock } from '@cactusdeal/shared';
+import { Client } from 'undici';
 import type { Answer } from './CactusdealRelayTypes.js';
+import { createHandler, MAX_ANSWER_BYTES } from './CactusdealRelayUpstreamAnswer.js';
+import {
+  type ConnectionState,
+  createConnectionState,
+  findExcess,
+  openSocket,
+} from './CactusdealRelayUpstreamSocket.js';
 
 /** A request to the upstream on this host. */
 export interface UpstreamRequest {
@@ -43,23 +48,11 @@
   readonly clock: Clock;
 }
 
-interface ConnectionState {
-  /** Whether the upstream has reset the connection. */
-  isReset: boolean;
-  /**
-   * Whether the current answer has neither a length nor chunks, so that it ends with the
-   * connection.
-   */
-  endsWithConnection: boolean;
-}
-
 interface Connection {
   readonly client: Client;
   readonly state: ConnectionState;
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
-const RESET_CODES: readonly string[] = ['ECONNRESET', 'EPIPE'];
 /**
  * Shorter than upstreams keep idle connections open, so that none closes one just as a request is
  * sent on it.
@@ -71,20 +64,29 @@
  */
 const NO_REUSE_MS = 10_000;
 
+/** Largest head of an answer, in bytes. */
+const MAX_HEAD_BYTES = 16 * 1024;
+/** Interval between checks for data without end, in milliseconds. */
+const EXCESS_CHECK_MS = 100;
+
 /** Creates an empty pool. A connection is closed as soon as a request on it fails. */
 export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
   const idleConnections: Connection[] = [];
   const openConnections = new Set<Connection>();
+  const heldBytes = { count: 0 };
+  const busyConnections = new Set<Connection>();
+  let excessTimer: NodeJS.Timeout | undefined;
   let noReuseUntilMs = 0;
   return {
     send,
     close: () => {
+      clearInterval(excessTimer);
       openConnections.forEach((connection) => discard(connection));
     },
   };
 
   function openClient(): Connection {
-    const state = { isReset: false, endsWithConnection: false };
+    const state = createConnectionState();
     const client = new Client(`http://${options.address}`, {
       pipelining: 1,
       connect: (_, callback) => openSocket(options.address, state, callback),
@@ -92,6 +94,8 @@
       keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxHeaderSize: MAX_HEAD_BYTES,
+      maxResponseSize: MAX_ANSWER_BYTES,
     });
     const connection = { client, state };
     openConnections.add(connection);
@@ -119,12 +123,34 @@
     else if (openConnections.has(connection)) idleConnections.push(connection);
   }
 
+  /** Closes connections whose data since the request cannot belong to an answer. */
+  function closeExcessive(): void {
+    busyConnections.forEach(({ state }) => {
+      const excess = findExcess(state);
+      if (excess !== undefined) state.socket?.destroy(new Error(excess));
+    });
+  }
+
+  function addBusy(connection: Connection): void {
+    busyConnections.add(connection);
+    excessTimer ??= setInterval(closeExcessive, EXCESS_CHECK_MS);
+  }
+
+  function removeBusy(connection: Connection): void {
+    busyConnections.delete(connection);
+    if (busyConnections.size > 0) return;
+    clearInterval(excessTimer);
+    excessTimer = undefined;
+  }
+
   function send(request: UpstreamRequest): UpstreamCall {
     const connection = takeConnection();
     const { client, state } = connection;
+    addBusy(connection);
     let isCancelled = false;
     const end = new Promise<UpstreamEnd>((resolve) => {
-      const handler = createHandler(request, options.idField, state, (result) => {
+      const handler = createHandler(request, options.idField, { state, heldBytes }, (result) => {
+        removeBusy(connection);
         if (result.type === 'answered') releaseConnection(connection);
         else {
           if (result.type === 'broken' && !isCancelled) {
@@ -153,106 +179,3 @@
     };
   }
 }
-
-/** Opens a socket and records a reset by the upstream in `connectionState`. */
-function openSocket(
-  address: string,
-  connectionState: ConnectionState,
-  callback: (...result: [Error, null] | [null, Socket]) => void,
-): void {
-  const state = connectionState;
-  const { host, port } = parseAddress(address);
-  const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
-  const timer = setTimeout(
-    () =>
-      socket.destroy(
-        new Error(`connecting to ${address} took longer than ${CONNECT_TIMEOUT_MS} ms`),
-      ),
-    CONNECT_TIMEOUT_MS,
-  );
-  let isOpen = false;
-  socket.on('error', (error) => {
-    recordReset(state, error);
-    clearTimeout(timer);
-    if (!isOpen) callback(error, null);
-  });
-  socket.on('end', () => {
-    if (state.endsWithConnection) probeReset(socket, state);
-    else socket.end();
-  });
-  socket.on('connect', () => {
-    isOpen = true;
-    clearTimeout(timer);
-    callback(null, socket);
-  });
-}
-
-/**
- * Detects a reset by writing: the runtime reports a reset that arrives together with data as an
- * orderly end, but a write after a reset fails at once. HTTP servers ignore an empty line before a
- * request, so the write is harmless otherwise.
- */
-function probeReset(socket: Socket, connectionState: ConnectionState): void {
-  socket.write('\r\n', (error) => recordReset(connectionState, error));
-}
-
-function recordReset(connectionState: ConnectionState, error: Error | null | undefined): void {
-  const state = connectionState;
-  const { code = '' } = (error ?? {}) as { code?: string };
-  if (RESET_CODES.includes(code)) state.isReset = true;
-}
-
-function createHandler(
-  request: UpstreamRequest,
-  idField: string,
-  connectionState: ConnectionState,
-  settle: (end: UpstreamEnd) => void,
-): Dispatcher.DispatchHandler {
-  const state = connectionState;
-  let isSent = false;
-  let status = 0;
-  let headers: string[] = [];
-  const chunks: Buffer[] = [];
-  return {
-    onRequestStart: () => {
-      isSent = true;
-    },
-    onResponseStart: (controller, statusCode) => {
-      if (statusCode < 200) return;
-      status = statusCode;
-      headers = decodeHeaders(controller.rawHeaders as Buffer[]);
-      state.endsWithConnection =
-        findField(headers, 'content-length') === undefined &&
-        findField(headers, 'transfer-encoding') === undefined;
-      const echoed = findField(headers, idField);
-      if (request.id !== undefined && echoed !== undefined && echoed !== request.id) {
-        controller.abort(new Error(`answer to request ${echoed}, expected one to ${request.id}`));
-      }
-    },
-    onResponseData: (_controller, chunk) => {
-      chunks.push(chunk);
-    },
-    onResponseEnd: () => {
-      if (state.endsWithConnection) setImmediate(finishAnswer);
-      else finishAnswer();
-    },
-    onResponseError: (_controller, error) => {
-      settle({ type: isSent ? 'broken' : 'unsent', message: error.message });
-    },
-  };
-
-  function finishAnswer(): void {
-    // The HTTP client takes a reset for the regular end of an answer that ends with its connection.
-    if (state.isReset) {
-      settle({ type: 'broken', message: 'connection was reset before the end of the answer' });
-      return;
-    }
-    const [first] = chunks;
-    const body = chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
-    settle({ type: 'answered', answer: { status, headers, body } });
-  }
-}
-
-function decodeHeaders(raw: readonly Buffer[] | undefined): string[] {
-  return (raw ?? []).map((item) => item.toString('latin1'));
-}
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -52,7 +52,15 @@
   };
 }
 
-/** Encodes the end of an attempt, with the gate's current load for the entry's next choice. */
+/** The fields of a piece of a large answer; its call's end follows without the body. */
+export function parsePiece(message: Message): { readonly id: number; readonly bytes: Uint8Array } {
+  return { id: message[1] as number, bytes: message[2] as Uint8Array };
+}
+
+/**
+ * Encodes the end of an attempt, with the gate's current load for the entry's next choice. An answer
+ * whose body went ahead in pieces is passed with an empty one.
+ */
 export function toEndMessage(id: number, end: AttemptEnd, report: GateReport): Message {
   const { load, failureRate } = report;
   if (end.type === 'answered') {
@@ -110,8 +118,9 @@
 }
 
 export function toHelloMessage(member: Member, status: Status): Message {
-  const { id, dataCentre, address } = member;
-  return [MessageKind.Hello, id, dataCentre, address, status.version, status.platformAgeMs];
+  const { id, dataCentre, service, address } = member;
+  const { version, platformAgeMs } = status;
+  return [MessageKind.Hello, id, dataCentre, address, version, platformAgeMs, service];
 }
 
 export function parseHello(message: Message): { member: Member; status: Status } {
@@ -120,6 +129,7 @@
       id: message[1] as string,
       dataCentre: message[2] as string,
       address: message[3] as string,
+      service: message[6] as string,
     },
     status: { version: message[4] as number, platformAgeMs: message[5] as number },
   };
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -26,8 +26,6 @@
   readonly entryAddress: string;
   /** `IP:PORT` of the upstream on this host. */
   readonly upstreamAddress: string;
-  /** Service of the upstream on this host. */
-  readonly service: string;
   /** Time between the upstream's heartbeats, in milliseconds. */
   readonly heartbeatMs: number;
   /** Time between the signal to stop and the kill, in milliseconds. */
@@ -74,8 +72,8 @@
   End: 0.93,
 } as const;
 /**
- * Interval between checks for running calls during a stop; also the longest wait for the end of the
- * lease.
+ * Interval between checks for running calls during a stop; also the longest wait for the removal of
+ * the registration.
  */
 const IDLE_CHECK_MS = 25;
 /** Time after the start at which a daemon counts as ready even without links to others. */
@@ -103,7 +101,7 @@
 
   const gate = createGate({
     address: options.upstreamAddress,
-    service: options.service,
+    service: self.service,
     names,
     clock,
     log,
@@ -138,7 +136,7 @@
   });
   const retryBudget = createRetryBudget({ ...DEFAULT_RETRY_BUDGET, ...options.retryBudget, clock });
   const router = createRouter({ self, gate, members, retryBudget, clock, random, log });
-  const registration = createRegistration({ self, registry, random, log });
+  const registration = createRegistration({ self, registry, clock, random, log });
   let listener: LinkListener | undefined;
   let entry: Entry | undefined;
   const metrics = createRelayMetrics({
@@ -158,7 +156,7 @@
   });
   entry = await startEntry({
     address: options.entryAddress,
-    callerService: options.service,
+    callerService: self.service,
     names,
     getRoutes: () => configurations.getRoutes(),
     router,
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -66,8 +66,8 @@
   readonly hosts: readonly TestHost[];
   /** Makes a new configuration available to all daemons. */
   publish(configuration: RelayConfiguration): void;
-  /** Called when a daemon revokes its lease. */
-  observeRevoke: () => void;
+  /** Called when a daemon removes its registration. */
+  observeRemoval: () => void;
   close(): Promise<void>;
 }
 
@@ -83,7 +83,7 @@
   const members: Member[] = [];
   const published = [configuration];
   const source = createSource(published);
-  const registry = createRegistry(members, () => cluster.observeRevoke());
+  const registry = createRegistry(members, () => cluster.observeRemoval());
   const servers: Server[] = [];
   const hosts = await Promise.all(
     services.map((service, index) =>
@@ -95,7 +95,7 @@
   await Promise.all(hosts.map((host) => waitForLinks(host, hosts)));
   const cluster: TestCluster = {
     hosts,
-    observeRevoke: () => {},
+    observeRemoval: () => {},
     publish: (next) => published.push(next),
     close: async () => {
       await Promise.all(hosts.map(({ relay }) => relay.close()));
@@ -132,10 +132,9 @@
   const upstreamAddress = await listen(server);
   const [entryAddress = '', linkAddress = ''] = await Promise.all([findAddress(), findAddress()]);
   const relay = await startRelay({
-    self: { id, dataCentre: 'west', address: linkAddress },
+    self: { id, dataCentre: 'west', service, address: linkAddress },
     entryAddress,
     upstreamAddress,
-    service,
     heartbeatMs: 60_000,
     graceMs: GRACE_MS,
     names: NAMES,
@@ -194,18 +193,17 @@
   };
 }
 
-function createRegistry(members: Member[], observeRevoke: () => void): MemberRegistry {
+function createRegistry(members: Member[], observeRemoval: () => void): MemberRegistry {
   return {
     register: (member) => {
       members.push(member);
-      return Promise.resolve(Right(member.id));
+      return Promise.resolve(Right(undefined));
     },
-    renew: () => Promise.resolve(Right(undefined)),
-    revoke: () => {
-      observeRevoke();
+    remove: () => {
+      observeRemoval();
       return new Promise(() => {});
     },
-    list: () => Promise.resolve(Right(members)),
+    list: () => Promise.resolve(Right([...members])),
   };
 }
 
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -67,7 +67,7 @@
       const paths: string[] = [];
       const address = await findAddress();
       const listener = await startLinkListener({
-        self: { id: 'd1', dataCentre: 'west', address },
+        self: { id: 'd1', dataCentre: 'west', service: 'records', address },
         gate: createRecordingGate(paths),
         getStatus: () => ({ version: 1, platformAgeMs: 0 }),
         buildUpdate: () => undefined,
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { EventEmitter } from 'node:events';
+import { describe, it } from 'node:test';
+import { createMessageReader, type Message, MessageKind } from '../../CactusdealRelayFrames.js';
+import {
+  createLinkWriter,
+  type LinkSocket,
+  type LinkWriter,
+  PIECE_BYTES,
+} from '../../CactusdealRelayLinkWriter.js';
+
+/** A socket that takes one write and then none until `passOn`. */
+class NarrowSocket extends EventEmitter {
+  public readonly destroyed = false;
+
+  public writableNeedDrain = false;
+
+  public readonly messages: Message[] = [];
+
+  private readonly read = createMessageReader((message) => this.messages.push(message));
+
+  public write(chunk: Buffer): boolean {
+    this.read(chunk);
+    this.writableNeedDrain = true;
+    return false;
+  }
+
+  public passOn(): void {
+    this.writableNeedDrain = false;
+    this.emit('drain');
+  }
+}
+
+const end = (id: number): Message => [MessageKind.Answer, id];
+const body = (pieces: number): Uint8Array => new Uint8Array(pieces * PIECE_BYTES);
+
+/** Kind and call id of each message in the order in which they were written. */
+const format = ([kind, id]: Message): string =>
+  kind === MessageKind.AnswerPiece ? `piece ${String(id)}` : `end ${String(id)}`;
+
+interface Case {
+  readonly name: string;
+  /** Steps between which the socket passes on what it has taken. */
+  readonly steps: readonly ((writer: LinkWriter) => void)[];
+  readonly expected: readonly string[];
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'a small answer before the rest of a large one',
+    steps: [(writer) => writer.writeLarge(1, body(3), end(1)), (writer) => writer.write(end(2))],
+    expected: ['piece 1', 'end 2', 'piece 1', 'piece 1', 'end 1'],
+  },
+  {
+    name: 'the pieces of two large answers in turn',
+    steps: [
+      (writer) => writer.writeLarge(1, body(2), end(1)),
+      (writer) => writer.writeLarge(2, body(2), end(2)),
+    ],
+    expected: ['piece 1', 'piece 1', 'end 1', 'piece 2', 'piece 2', 'end 2'],
+  },
+  {
+    name: 'nothing more of an answer that is discarded',
+    steps: [(writer) => writer.writeLarge(1, body(3), end(1)), (writer) => writer.discard(1)],
+    expected: ['piece 1'],
+  },
+];
+
+describe('writer of a narrow link', () => {
+  cases.forEach(({ name, steps, expected }) => {
+    it(`writes ${name}`, () => {
+      const socket = new NarrowSocket();
+      const writer = createLinkWriter(socket as unknown as LinkSocket);
+      steps.forEach((step) => step(writer));
+      for (let round = 0; round < 10; round += 1) socket.passOn();
+      assert.deepEqual(socket.messages.map(format), expected);
+    });
+  });
+
+  it('takes turns between large answers that wait', () => {
+    const socket = new NarrowSocket();
+    const writer = createLinkWriter(socket as unknown as LinkSocket);
+    writer.write(end(9));
+    writer.writeLarge(1, body(2), end(1));
+    writer.writeLarge(2, body(1), end(2));
+    for (let round = 0; round < 10; round += 1) socket.passOn();
+    const written = socket.messages.map(format);
+    assert.deepEqual(written, ['end 9', 'piece 1', 'piece 2', 'end 2', 'piece 1', 'end 1']);
+  });
+});
--- a/packages/relay/src/__tests__/unit/CactusdealRelayStop.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayStop.test.ts
@@ -36,7 +36,7 @@
     await cluster.close();
   });
 
-  it('answers or refuses a call that arrives while the lease is being revoked', async () => {
+  it('answers or refuses a call that arrives while the registration is being removed', async () => {
     const cluster = await startCluster(configuration, ['desk', 'records']);
     const [caller, upstream] = cluster.hosts as [TestHost, TestHost];
     const { serve } = upstream;
@@ -44,7 +44,7 @@
       setTimeout(() => serve(request, response), 2 * SERVICE_MS);
     };
     let last: Promise<CallerAnswer> | undefined;
-    cluster.observeRevoke = () => {
+    cluster.observeRemoval = () => {
       last ??= sendCall(caller);
     };
     await caller.relay.close();
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from 'node:test';
 import { getMonotonicMs } from '@cactusdeal/shared';
 import { createUpstreamPool, type UpstreamEnd } from '../../CactusdealRelayUpstream.js';
+import { MAX_ANSWER_BYTES } from '../../CactusdealRelayUpstreamAnswer.js';
 
 type Behave = (socket: Socket) => void;
 
@@ -120,6 +121,83 @@
   });
 });
 
+interface EndlessCase {
+  readonly name: string;
+  /** Sent once. */
+  readonly start: string;
+  /** Sent again and again until the connection is closed. */
+  readonly unit: string;
+}
+
+const unit = 'x'.repeat(64 * 1024);
+const endlessCases: readonly EndlessCase[] = [
+  { name: 'a status line', start: 'HTTP/1.1 200 ', unit },
+  { name: 'header lines', start: 'HTTP/1.1 200 OK\r\n', unit: 'x-more: 1\r\n'.repeat(1_000) },
+  { name: 'one header field', start: 'HTTP/1.1 200 OK\r\nx-long: ', unit },
+  { name: 'interim responses', start: '', unit: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100) },
+  { name: 'a body without a length', start: head(''), unit },
+  { name: 'a chunk size', start: head('transfer-encoding: chunked\r\n'), unit: '0'.repeat(1_000) },
+  {
+    name: 'a chunk extension',
+    start: `${head('transfer-encoding: chunked\r\n')}4;name=`,
+    unit,
+  },
+  {
+    name: 'chunks',
+    start: head('transfer-encoding: chunked\r\n'),
+    unit: `10000\r\n${unit}\r\n`,
+  },
+  {
+    name: 'trailer fields',
+    start: `${head('transfer-encoding: chunked\r\n')}0\r\n`,
+    unit: 'x-more: 1\r\n'.repeat(1_000),
+  },
+  { name: 'data that is not HTTP', start: '', unit },
+  { name: 'data after an answer', start: `${head('content-length: 2\r\n')}ok`, unit },
+];
+
+/** Most bytes that the pool may take of data without end; the limit of a body and some in transit. */
+const MAX_TAKEN_BYTES = 2 * MAX_ANSWER_BYTES;
+const ENDLESS_LIMIT_MS = 4_000;
+
+describe('data without end from the upstream', () => {
+  endlessCases.forEach(({ name, start, unit: repeated }) => {
+    it(`ends the connection: ${name}`, { timeout: 2 * ENDLESS_LIMIT_MS }, async () => {
+      const closed: Promise<number>[] = [];
+      const server = createServer((socket) => {
+        socket.on('error', () => {});
+        closed.push(writeEndlessly(socket, start, repeated));
+      });
+      const pool = createPool(await listen(server));
+      const call = pool.send({ method: 'GET', path: '/', headers: [], body: undefined, id: 'c1' });
+      const timer = setTimeout(() => call.cancel(), ENDLESS_LIMIT_MS);
+      const end = await call.end;
+      clearTimeout(timer);
+      assert.ok(end.type !== 'answered' || name === 'data after an answer', end.type);
+      const [sentBytes = 0] = await Promise.all(closed);
+      assert.ok(sentBytes < MAX_TAKEN_BYTES, `${sentBytes} bytes taken`);
+      pool.close();
+      server.close();
+    });
+  });
+});
+
+/** Resolves to the number of bytes written when the connection closes. */
+function writeEndlessly(socket: Socket, start: string, repeated: string): Promise<number> {
+  return new Promise((resolve) => {
+    socket.on('close', () => resolve(socket.bytesWritten));
+    socket.once('data', () => {
+      socket.write(start);
+      writeMore();
+    });
+    socket.on('drain', writeMore);
+
+    function writeMore(): void {
+      while (!socket.destroyed && socket.write(repeated));
+    }
+  });
+}
+
 function createPool(address: string): ReturnType<typeof createUpstreamPool> {
   return createUpstreamPool({ address, idField: 'x-id', clock: getMonotonicMs });
 }
