--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -49,8 +49,10 @@
  * Daemons of each data centre that watch the platform; the others learn of new versions from them.
  */
 const READERS_PER_DATA_CENTRE = 2;
-/** Longest wait of one watch request. */
+/** Longest wait of one watch request; bounds the time in which a connection may go silent. */
 const WATCH_MS = 2_500;
+/** The same for a standby, which becomes the primary as soon as that one fails. */
+const STANDBY_WATCH_MS = 25_000;
 /** Pause before the next watch, so that versions in quick succession are read together. */
 const COALESCE_MS = 600;
 /** Age of a reader's last successful read beyond which it no longer counts as a reader. */
@@ -66,6 +68,17 @@
  */
 const REMOTE_REQUEST_AFTER_MS = 1_000;
 
+/** What a daemon has to read from the platform, by the readers of its data centre with lower ids. */
+const ReaderRole = {
+  /** Watches with short waits. */
+  Primary: 'primary',
+  /** Watches with long waits. */
+  Standby: 'standby',
+  /** Learns new versions from the readers. */
+  None: 'none',
+} as const;
+type ReaderRole = (typeof ReaderRole)[keyof typeof ReaderRole];
+
 export function createConfigurations(options: ConfigurationsOptions): Configurations {
   return new ConfigurationFollower(options);
 }
@@ -81,6 +94,8 @@
 
   private lastReadAtMs: number | undefined;
 
+  private isStandby = false;
+
   private requestedAtMs = -Infinity;
 
   private readonly startedAtMs: number;
@@ -98,9 +113,16 @@
   }
 
   public getStatus(): Status {
-    const platformAgeMs =
-      this.lastReadAtMs === undefined ? -1 : this.options.clock() - this.lastReadAtMs;
-    return { version: this.configuration?.version ?? 0, platformAgeMs };
+    return {
+      version: this.configuration?.version ?? 0,
+      platformAgeMs: this.computePlatformAgeMs(),
+    };
+  }
+
+  /** A standby's long watch counts as a read while it has not failed. */
+  private computePlatformAgeMs(): number {
+    if (this.lastReadAtMs === undefined) return -1;
+    return this.isStandby ? 0 : this.options.clock() - this.lastReadAtMs;
   }
 
   public receiveStatus(peer: Peer, status: Status): void {
@@ -158,13 +180,15 @@
     let revision: number | undefined;
     let backoffMs = MIN_BACKOFF_MS;
     while (!signal.aborted) {
-      if (!this.shouldRead(members)) {
+      const role = this.findRole(members);
+      if (role === ReaderRole.None) {
         revision = undefined;
         await waitMs(ROLE_CHECK_MS, signal);
         continue;
       }
-      const reading = await this.readPlatform(revision);
+      const reading = await this.readPlatform(revision, role, members);
       if (signal.aborted) return;
+      if (reading === 'role-changed') continue;
       if (reading.isRight()) {
         backoffMs = MIN_BACKOFF_MS;
         const { sources, revision: next } = reading.unsafeCoerce();
@@ -179,9 +203,24 @@
     }
   }
 
-  private readPlatform(revision: number | undefined): ReturnType<ConfigurationSource['read']> {
+  /** Reads or watches; a standby stops its watch as soon as it is not the standby any more. */
+  private async readPlatform(
+    revision: number | undefined,
+    role: ReaderRole,
+    members: Members,
+  ): Promise<Awaited<ReturnType<ConfigurationSource['read']>> | 'role-changed'> {
     const { source } = this.options;
-    return revision === undefined ? source.read() : source.watch(revision, WATCH_MS);
+    if (revision === undefined) return source.read();
+    if (role === ReaderRole.Primary) return source.watch(revision, WATCH_MS, this.stop.signal);
+    const cut = new AbortController();
+    const timer = setInterval(() => {
+      if (this.stop.signal.aborted || this.findRole(members) !== role) cut.abort();
+    }, ROLE_CHECK_MS);
+    this.isStandby = true;
+    const reading = await source.watch(revision, STANDBY_WATCH_MS, cut.signal);
+    this.isStandby = false;
+    clearInterval(timer);
+    return cut.signal.aborted ? 'role-changed' : reading;
   }
 
   private applyReading(sources: ConfigurationReading['sources']): void {
@@ -203,11 +242,14 @@
     return revision;
   }
 
-  /**
-   * Whether this daemon has to be a reader: fewer than `READERS_PER_DATA_CENTRE` daemons of its
-   * data centre with lower ids are readers.
-   */
-  private shouldRead(members: Members): boolean {
+  private findRole(members: Members): ReaderRole {
+    const lowerReaders = this.countLowerReaders(members);
+    if (lowerReaders === 0) return ReaderRole.Primary;
+    return lowerReaders < READERS_PER_DATA_CENTRE ? ReaderRole.Standby : ReaderRole.None;
+  }
+
+  /** Counts the readers of the data centre that have a lower id than this daemon. */
+  private countLowerReaders(members: Members): number {
     const { self, clock } = this.options;
     const nowMs = clock();
     const readers = members.list().filter((peer) => {
@@ -216,7 +258,7 @@
       if (status === undefined || status.platformAgeMs < 0) return false;
       return status.platformAgeMs + nowMs - status.atMs < STALE_READER_MS;
     });
-    return readers.length < READERS_PER_DATA_CENTRE;
+    return readers.length;
   }
 
   public close(): void {
--- a/packages/relay/src/CactusdealRelayLinkPlan.ts
+++ b/packages/relay/src/CactusdealRelayLinkPlan.ts
@@ -51,9 +51,8 @@
 /** The daemons of the own data centre from which its readers come. */
 function listLowestIds(self: Member, candidates: readonly LinkCandidate[]): readonly string[] {
   return candidates
-    .filter(({ member, state }) => {
-      return member.dataCentre === self.dataCentre && state !== LinkState.Failing;
-    })
+    .filter(({ member }) => member.dataCentre === self.dataCentre)
+    .filter(({ state }) => state !== LinkState.Failing)
     .map(({ member }) => member.id)
     .sort()
     .slice(0, LOWEST_IDS);
@@ -79,14 +78,14 @@
 ): readonly string[] {
   const listIds = (state: LinkState): string[] =>
     group.filter((candidate) => candidate.state === state).map(({ member }) => member.id);
-  const usable = rankByHash(self.id, listIds(LinkState.Usable)).slice(0, limit);
+  const usable = listByHash(self.id, listIds(LinkState.Usable)).slice(0, limit);
   const missing = limit - usable.length;
-  const added = missing > 0 ? rankByHash(self.id, listIds(LinkState.None)).slice(0, missing) : [];
+  const added = missing > 0 ? listByHash(self.id, listIds(LinkState.None)).slice(0, missing) : [];
   const failing = listIds(LinkState.Failing).slice(0, limit);
   return [...usable, ...added, ...failing];
 }
 
-function rankByHash(selfId: string, ids: readonly string[]): string[] {
+function listByHash(selfId: string, ids: readonly string[]): string[] {
   if (ids.length < 2) return [...ids];
   return ids
     .map((id) => ({ id, rank: computeHash(`${selfId}\n${id}`) }))
@@ -94,16 +93,14 @@
     .map(({ id }) => id);
 }
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-const MIX_FACTOR = 0x85ebca6b;
+const HASH_PRIME = 2_147_483_647;
+const HASH_FACTOR = 16_807;
 
-/** 32-bit FNV-1a hash with a final mixing step, as ids differ in their last characters only. */
+/** Multiplicative hash; the last step spreads ids that differ in their last characters only. */
 function computeHash(text: string): number {
-  let hash = FNV_OFFSET;
+  let hash = 1;
   for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+    hash = ((hash + text.charCodeAt(index)) * HASH_FACTOR) % HASH_PRIME;
   }
-  hash = Math.imul(hash ^ (hash >>> 16), MIX_FACTOR);
-  return (hash ^ (hash >>> 13)) >>> 0;
+  return (hash * HASH_FACTOR) % HASH_PRIME;
 }
--- a/packages/relay/src/CactusdealRelayPorts.ts
+++ b/packages/relay/src/CactusdealRelayPorts.ts
@@ -31,8 +31,12 @@
 export interface ConfigurationSource {
   /** Reads the current configuration. */
   read(): Promise<Either<PlatformFault, ConfigurationReading>>;
-  /** Waits up to `waitMs` for changes after the revision. */
-  watch(revision: number, waitMs: number): Promise<Either<PlatformFault, ConfigurationReading>>;
+  /** Waits up to `waitMs` for changes after the revision; fails when `signal` aborts. */
+  watch(
+    revision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Either<PlatformFault, ConfigurationReading>>;
   /** Decodes and validates a configuration; the failure says what is wrong. */
   decode(source: string): Either<Failure, RelayConfiguration>;
 }
--- a/packages/relay/src/CactusdealRelayRegistration.ts
+++ b/packages/relay/src/CactusdealRelayRegistration.ts
@@ -75,9 +75,9 @@
 
   /** Another daemon may have removed the record while this one was cut off. */
   async function registerIfMissing(registered: readonly Member[]): Promise<boolean> {
-    const isListed = registered.some(({ id, address }) => {
-      return id === self.id && address === self.address;
-    });
+    const isListed = registered.some(
+      ({ id, address }) => id === self.id && address === self.address,
+    );
     const isRecent = registeredAtMs !== undefined && clock() - registeredAtMs < MAX_LIST_AGE_MS;
     if (isListed || isRecent) {
       registeredAtMs ??= clock();
--- a/packages/relay/src/CactusdealRelayUpstreamAnswer.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamAnswer.ts
@@ -1,7 +1,7 @@
 import type { Dispatcher } from 'undici';
 import { findField } from './CactusdealRelayHeaders.js';
 import type { UpstreamEnd, UpstreamRequest } from './CactusdealRelayUpstream.js';
-import { type ConnectionState, resetCounts } from './CactusdealRelayUpstreamSocket.js';
+import { type ConnectionState, startCounts } from './CactusdealRelayUpstreamSocket.js';
 
 /** Largest body of an answer; a longer one breaks the request. */
 export const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
@@ -21,10 +21,10 @@
 export function createHandler(
   request: UpstreamRequest,
   idField: string,
-  { state: connectionState, heldBytes }: HandlerContext,
+  context: HandlerContext,
   settle: (end: UpstreamEnd) => void,
 ): Dispatcher.DispatchHandler {
-  const state = connectionState;
+  const { state, heldBytes } = context;
   let isSent = false;
   let interimResponses = 0;
   let heldHere = 0;
@@ -34,7 +34,7 @@
   return {
     onRequestStart: () => {
       isSent = true;
-      resetCounts(state);
+      startCounts(state);
     },
     onResponseStart: (controller, statusCode) => {
       if (statusCode < 200) {
--- a/packages/relay/src/CactusdealRelayUpstreamSocket.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamSocket.ts
@@ -34,7 +34,7 @@
 }
 
 /** Starts the counts of a request. */
-export function resetCounts(connectionState: ConnectionState): void {
+export function startCounts(connectionState: ConnectionState): void {
   const state = connectionState;
   state.bytesBefore = state.socket?.bytesRead ?? 0;
   state.bodyBytes = 0;
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPath.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPath.test.ts
@@ -190,6 +190,18 @@
     assert.equal(bodies.join(''), body);
   });
 
+  it('returns a large answer whole and in order', async () => {
+    const body = Array.from({ length: 60_000 }, (_, index) => String(index)).join(' ');
+    upstreams.forEach((testHost) => {
+      const host = testHost;
+      host.serve = (_, response) => {
+        response.writeHead(200, { [NAMES.signature]: 'yes' }).end(body);
+      };
+    });
+    const answers = await Promise.all([1, 2, 3].map(() => sendCall(caller)));
+    answers.forEach((answer) => assert.equal(answer.body === body, true));
+  });
+
   it('closes the connection to the upstream when the caller disconnects', async () => {
     let isClosed = false;
     const disconnect = new AbortController();
--- a/packages/relay/src/bench/CactusdealRelayBenchDrain.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchDrain.ts
@@ -60,14 +60,19 @@
     };
   });
   const results: Promise<boolean>[] = [];
-  const sendCallsFor = async (durationMs: number): Promise<void> => {
-    const startedAtMs = getMonotonicMs();
-    while (getMonotonicMs() - startedAtMs < durationMs) {
+  const sendCallsWhile = async (isWanted: () => boolean): Promise<void> => {
+    while (isWanted()) {
       results.push(sendOne(desk, `c${results.length}`));
       await waitMs(MS_PER_SECOND / callsPerSecond);
     }
   };
+  const sendCallsFor = async (durationMs: number): Promise<void> => {
+    const startedAtMs = getMonotonicMs();
+    await sendCallsWhile(() => getMonotonicMs() - startedAtMs < durationMs);
+  };
   await sendCallsFor(phaseMs);
+  // At a low rate there are moments without a call; the drain is to begin with calls running.
+  await sendCallsWhile(() => running === 0);
   const runningAtDrain = running;
   leaving.sendHeartbeat({ state: 'draining', capacity: CAPACITY });
   const acknowledgedAtMs = getMonotonicMs();
