List the members rarely, and write a record only when it is missing

Cause: a list of 195 members takes four pages of the store, and each daemon listed at the start, twice more and every 20 s. Change: after a list that holds the own record the next one comes after 30 s, links bring what is urgent; a daemon restarted at its address finds its record and writes nothing.

--- a/packages/relay/src/CactusdealRelayRegistration.ts
+++ b/packages/relay/src/CactusdealRelayRegistration.ts
@@ -7,6 +7,8 @@
 export interface Registration {
   /** Registers, then lists the others periodically; resolves after `close`. */
   run(members: Members): Promise<void>;
+  /** Lists the others and corrects this daemon's record once; false if the platform fails. */
+  update(members: Members): Promise<boolean>;
   /** Stops and removes this daemon from the registry. */
   close(): Promise<void>;
 }
@@ -19,10 +21,13 @@
   readonly log: Log;
 }
 
-/** Pauses between the first lists: daemons that start together are missing in an old copy. */
-const FIRST_PAUSES_MS: readonly number[] = [1_200, 2_500];
-/** Mean time between later lists; `run` adds jitter. Links bring the news that is urgent. */
-const LIST_INTERVAL_MS = 20_000;
+/**
+ * Pause after a list without this daemon's record: it is too old to hold the daemons that have started
+ * together with this one.
+ */
+const EARLY_LIST_PAUSE_MS = 2_000;
+/** Mean time between other lists; `run` adds jitter. Links bring the news that is urgent. */
+const LIST_INTERVAL_MS = 30_000;
 /** Greatest age of a list: a record written before it must be in it. */
 const MAX_LIST_AGE_MS = 10_000;
 /** Time without a link after which a daemon's record is removed on its behalf. */
@@ -42,9 +47,11 @@
   const { self, registry, clock, random, log } = options;
   const stop = new AbortController();
   let registeredAtMs: number | undefined;
+  let isListed = false;
   let backoffMs = MIN_BACKOFF_MS;
   return {
     run,
+    update,
     close: async () => {
       stop.abort();
       if (registeredAtMs !== undefined) await registry.remove([self.id]);
@@ -52,17 +59,16 @@
   };
 
   async function run(members: Members): Promise<void> {
-    const pauses = [...FIRST_PAUSES_MS];
     while (!stop.signal.aborted) {
       const isDone = await update(members);
       if (isDone) backoffMs = MIN_BACKOFF_MS;
-      const pauseMs = isDone ? (pauses.shift() ?? LIST_INTERVAL_MS) : backoffMs;
+      const listPauseMs = isListed ? LIST_INTERVAL_MS : EARLY_LIST_PAUSE_MS;
+      const pauseMs = isDone ? listPauseMs : backoffMs;
       if (!isDone) backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
       await waitMs(pauseMs * (0.8 + 0.4 * random()), stop.signal);
     }
   }
 
-  /** Lists the registered daemons and corrects the registry; false if the platform fails. */
   async function update(members: Members): Promise<boolean> {
     const listed = await registry.list();
     if (listed.isLeft()) return logFault('list', listed.swap().unsafeCoerce());
@@ -75,9 +81,7 @@
 
   /** Another daemon may have removed the record while this one was cut off. */
   async function registerIfMissing(registered: readonly Member[]): Promise<boolean> {
-    const isListed = registered.some(
-      ({ id, address }) => id === self.id && address === self.address,
-    );
+    isListed = registered.some(({ id, address }) => id === self.id && address === self.address);
     const isRecent = registeredAtMs !== undefined && clock() - registeredAtMs < MAX_LIST_AGE_MS;
     if (isListed || isRecent) {
       registeredAtMs ??= clock();
