Tell a restarted daemon that its upstream has left

Cause: a daemon that restarts has forgotten that its upstream was draining or had left; a heartbeat from before, delayed on the way, opened its gate again (seen by other operators, and here in the new test). Change: a daemon tells all linked daemons when its upstream drains or ends; each gives that back to it on the next link. Old news from a neighbour does not close the gate of a later instance.

--- a/packages/relay/src/CactusdealRelayFrames.ts
+++ b/packages/relay/src/CactusdealRelayFrames.ts
@@ -15,6 +15,7 @@
   ConfigurationRequest: 10,
   Configuration: 11,
   AnswerPiece: 12,
+  Departure: 13,
 } as const;
 
 /** A message on a link: its kind, then its fields in a fixed order. */
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -9,12 +9,21 @@
 import type { Gate } from './CactusdealRelayGate.js';
 import { createDeferredTasks, type DeferredTasks } from './CactusdealRelayDeferredTasks.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
-import type { Attempt, AttemptEnd, GateCall, GateReport, Member } from './CactusdealRelayTypes.js';
+import type {
+  Attempt,
+  AttemptEnd,
+  DepartureExchange,
+  GateCall,
+  GateReport,
+  Member,
+} from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
   parseCall,
+  parseDeparture,
   parseHello,
   type Status,
+  toDepartureMessage,
   toEndMessage,
   toHelloMessage,
   toReportMessage,
@@ -28,12 +37,14 @@
   pushReport(): void;
   /** Sends this daemon's status to the linked daemons of its data centre. */
   pushStatus(): void;
+  /** Tells all linked daemons that the upstream on this host is leaving or has left. */
+  pushDeparture(): void;
   /** Counts the calls of other daemons that have not ended. */
   countCalls(): number;
   close(): Promise<void>;
 }
 
-export interface LinkListenerOptions {
+export interface LinkListenerOptions extends DepartureExchange {
   readonly self: Member;
   readonly gate: Gate;
   readonly getStatus: () => Status;
@@ -90,6 +101,7 @@
   return {
     pushReport: () => pushReport(() => true),
     pushStatus,
+    pushDeparture: () => links.forEach((link) => writeDeparture(options, link, options.self.id)),
     countCalls: () => [...links].reduce((sum, link) => sum + link.activeCalls.size, 0),
     close: () => {
       timers.forEach(clearInterval);
@@ -171,6 +183,8 @@
       link.isLocal = member.dataCentre === options.self.dataCentre;
       write(link, toHelloMessage(options.self, options.getStatus()));
       write(link, toReportMessage(options.gate.getReport()));
+      writeDeparture(options, link, options.self.id);
+      writeDeparture(options, link, member.id);
       options.receiveMember(member);
       break;
     }
@@ -183,6 +197,11 @@
     case MessageKind.Ping:
       write(link, [MessageKind.Pong]);
       break;
+    case MessageKind.Departure: {
+      const { memberId, upstream } = parseDeparture(message);
+      options.receiveDeparture(memberId, upstream);
+      break;
+    }
     case MessageKind.ConfigurationRequest: {
       const update = options.buildUpdate(message[1] as number);
       if (update !== undefined) write(link, toUpdateMessage(update));
@@ -192,6 +211,16 @@
   }
 }
 
+/** Tells the other daemon what is known of the upstream beside the daemon `memberId`. */
+function writeDeparture(
+  { getDeparture }: LinkListenerOptions,
+  link: AcceptedLink,
+  memberId: string,
+): void {
+  const upstream = getDeparture(memberId);
+  if (upstream !== undefined) write(link, toDepartureMessage(memberId, upstream));
+}
+
 /**
  * Holds a call until all data that has arrived is read. After a delay of the link or a pause of this
  * daemon, calls arrive together with their cancellations, and such calls must not reach the upstream.
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -12,6 +12,7 @@
   type Attempt,
   type AttemptEnd,
   buildNotRun,
+  type DepartureExchange,
   type GateCall,
   type GateReport,
   type Member,
@@ -20,6 +21,7 @@
 } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
+  parseDeparture,
   parseEnd,
   parseHello,
   parsePiece,
@@ -28,6 +30,7 @@
   parseUpdate,
   type Status,
   toCallMessage,
+  toDepartureMessage,
   toHelloMessage,
 } from './CactusdealRelayWire.js';
 
@@ -67,7 +70,7 @@
   close(): void;
 }
 
-export interface PeerOptions {
+export interface PeerOptions extends DepartureExchange {
   readonly member: Member;
   readonly self: Member;
   readonly getStatus: () => Status;
@@ -254,6 +257,8 @@
     this.socket = socket;
     this.lastReceivedAtMs = clock();
     this.write(toHelloMessage(self, getStatus()));
+    const departure = this.options.getDeparture(this.member.id);
+    if (departure !== undefined) this.write(toDepartureMessage(this.member.id, departure));
     log.info('link-opened', { peer: this.member.id });
   }
 
@@ -306,6 +311,11 @@
       case MessageKind.Status:
         this.setStatus(parseStatus(message));
         break;
+      case MessageKind.Departure: {
+        const { memberId, upstream } = parseDeparture(message);
+        this.options.receiveDeparture(memberId, upstream);
+        break;
+      }
       case MessageKind.Configuration:
         this.options.receiveUpdate(this, parseUpdate(message));
         break;
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -63,6 +63,13 @@
   readonly sequence: number;
 }
 
+/** Exchange of the news which upstreams are leaving, with each linked daemon. */
+export interface DepartureExchange {
+  /** The last known departure of the upstream beside the daemon; undefined if there is none. */
+  readonly getDeparture: (memberId: string) => Upstream | undefined;
+  readonly receiveDeparture: (memberId: string, upstream: Upstream) => void;
+}
+
 /** A heartbeat sent by an upstream. */
 export interface Heartbeat extends Upstream {
   /** `IP:PORT` on which it accepts calls. */
--- a/packages/relay/src/CactusdealRelayUpstreamTracker.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamTracker.ts
@@ -13,6 +13,11 @@
    * False if that instance is not the current one.
    */
   receiveEnd(id: string, startedAtMs: number | undefined): boolean;
+  /**
+   * Handles what another daemon knows of the upstream on this host: that an instance of it is
+   * draining or gone, as this daemon was told before its restart.
+   */
+  receiveDeparture(upstream: Upstream): void;
   /** The current instance; undefined before the first heartbeat. */
   get(): Upstream | undefined;
   close(): void;
@@ -46,6 +51,7 @@
   return {
     receive,
     receiveEnd,
+    receiveDeparture,
     get: () => current,
     close: () => clearInterval(timer),
   };
@@ -71,6 +77,17 @@
     return true;
   }
 
+  function receiveDeparture(upstream: Upstream): void {
+    const { id, startedAtMs, sequence, state } = upstream;
+    if (state === 'gone') recordEnd(id, startedAtMs);
+    const isCurrent = current?.id === id && current.startedAtMs === startedAtMs;
+    const isEnd = state === 'gone' && isCurrent && current?.state !== 'gone';
+    if (!isEnd && current !== undefined && !isNewer(upstream, current)) return;
+    log.info('departure-restored', { upstream: id, sequence, state });
+    lastHeartbeatAtMs = clock();
+    setCurrent(upstream);
+  }
+
   /**
    * Records the end also of an unknown instance: this daemon may have started after its last
    * heartbeat.
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,5 +1,5 @@
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
-import type { AttemptEnd, GateCall, GateReport, Member } from './CactusdealRelayTypes.js';
+import type { AttemptEnd, GateCall, GateReport, Member, Upstream } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 
 /** Status of a daemon, sent when a link opens and periodically. */
@@ -143,6 +143,26 @@
   return { version: message[1] as number, platformAgeMs: message[2] as number };
 }
 
+/** Encodes that the upstream beside the daemon `memberId` is leaving or has left. */
+export function toDepartureMessage(memberId: string, upstream: Upstream): Message {
+  const { id, service, capacity, state, startedAtMs, sequence } = upstream;
+  return [MessageKind.Departure, memberId, id, service, capacity, state, startedAtMs, sequence];
+}
+
+export function parseDeparture(message: Message): { memberId: string; upstream: Upstream } {
+  return {
+    memberId: message[1] as string,
+    upstream: {
+      id: message[2] as string,
+      service: message[3] as string,
+      capacity: message[4] as number,
+      state: message[5] as Upstream['state'],
+      startedAtMs: message[6] as number,
+      sequence: message[7] as number,
+    },
+  };
+}
+
 /** Encodes an update; base version 0 marks a whole one. */
 export function toUpdateMessage(update: VersionUpdate): Message {
   return [
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -6,6 +6,7 @@
   type Log,
   waitMs,
 } from '@cactusdeal/shared';
+import { createDepartures } from './CactusdealRelayDepartures.js';
 import { createConfigurations, type Configurations } from './CactusdealRelayConfigurations.js';
 import { type Entry, startEntry } from './CactusdealRelayEntry.js';
 import { createGate, type Gate } from './CactusdealRelayGate.js';
@@ -16,7 +17,12 @@
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
 import { createRouter } from './CactusdealRelayRouter.js';
-import type { HeaderNames, Member, RelayConfiguration } from './CactusdealRelayTypes.js';
+import type {
+  DepartureExchange,
+  HeaderNames,
+  Member,
+  RelayConfiguration,
+} from './CactusdealRelayTypes.js';
 import { createUpstreamTracker, type UpstreamTracker } from './CactusdealRelayUpstreamTracker.js';
 
 /** Settings and dependencies of a relay. */
@@ -107,12 +113,24 @@
     log,
     observe: () => listener?.pushReport(),
   });
+  const departures = createDepartures();
+  const departureExchange: DepartureExchange = {
+    getDeparture: (memberId) => departures.get(memberId),
+    receiveDeparture: (memberId, upstream) => {
+      if (memberId === self.id) upstreamTracker.receiveDeparture(upstream);
+      else departures.record(memberId, upstream);
+    },
+  };
   const upstreamTracker = createUpstreamTracker({
     heartbeatMs: options.heartbeatMs,
     clock,
     wallClock: getWallTimeMs,
     log,
-    observe: gate.setUpstream.bind(gate),
+    observe: (upstream) => {
+      gate.setUpstream(upstream);
+      if (upstream === undefined || upstream.state === 'ready') return;
+      if (departures.record(self.id, upstream)) listener?.pushDeparture();
+    },
   });
   const configurations = createConfigurations({
     self,
@@ -128,6 +146,7 @@
   const getStatus = (): ReturnType<Configurations['getStatus']> => configurations.getStatus();
   const members = createMembers({
     self,
+    ...departureExchange,
     getStatus,
     receiveStatus: (peer, status) => configurations.receiveStatus(peer, status),
     receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
@@ -148,6 +167,7 @@
   });
   listener = await startLinkListener({
     self,
+    ...departureExchange,
     gate,
     getStatus,
     buildUpdate: (version) => configurations.buildUpdate(version),
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -49,12 +49,15 @@
 
 /** A stand-in upstream with its daemon. */
 export interface TestHost {
-  readonly relay: Relay;
+  /** The running daemon. */
+  relay: Relay;
   readonly entryAddress: string;
   readonly id: string;
   /** Requests that reached the upstream. */
   readonly requests: IncomingMessage[];
   serve: RequestHandler;
+  /** Stops the daemon and starts it anew at the same addresses; resolves when it is linked again. */
+  restart(): Promise<void>;
   /** Passes a heartbeat of the upstream to its daemon. */
   sendHeartbeat(changes?: { state?: 'ready' | 'draining'; capacity?: number }): void;
 }
@@ -131,26 +134,32 @@
   servers.push(server);
   const upstreamAddress = await listen(server);
   const [entryAddress = '', linkAddress = ''] = await Promise.all([findAddress(), findAddress()]);
-  const relay = await startRelay({
-    self: { id, dataCentre: 'west', service, address: linkAddress },
-    entryAddress,
-    upstreamAddress,
-    heartbeatMs: 60_000,
-    graceMs: GRACE_MS,
-    names: NAMES,
-    ...parts,
-    countLostLines: () => 0,
-  });
+  const start = (): Promise<Relay> =>
+    startRelay({
+      self: { id, dataCentre: 'west', service, address: linkAddress },
+      entryAddress,
+      upstreamAddress,
+      heartbeatMs: 60_000,
+      graceMs: GRACE_MS,
+      names: NAMES,
+      ...parts,
+      countLostLines: () => 0,
+    });
   let sequence = 0;
   const host: TestHost = {
-    relay,
+    relay: await start(),
     entryAddress,
     id,
     requests,
     serve: answerOk,
+    restart: async () => {
+      await host.relay.close();
+      host.relay = await start();
+      await waitUntil(() => host.relay.isReady(), `${id} is ready again`);
+    },
     sendHeartbeat: (changes = {}) => {
       sequence += 1;
-      relay.upstreamTracker.receive({
+      host.relay.upstreamTracker.receive({
         id: `u${index}`,
         service,
         address: upstreamAddress,
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayDepartures.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createDepartures } from '../../CactusdealRelayDepartures.js';
+import type { Upstream } from '../../CactusdealRelayTypes.js';
+import { buildConfiguration, buildRule, buildUpstream } from '../CactusdealRelayFixtures.js';
+import { type TestHost, sendCall, startCluster, waitUntil } from '../CactusdealRelayTestCluster.js';
+
+const known: Partial<Upstream> = { id: 'u1', startedAtMs: 1_000, sequence: 5 };
+
+const cases: readonly [
+  name: string,
+  before: Partial<Upstream>,
+  next: Partial<Upstream>,
+  boolean,
+][] = [
+  ['the end after the drain', { state: 'draining' }, { state: 'gone' }, true],
+  ['the drain after the end', { state: 'gone' }, { state: 'draining', sequence: 9 }, false],
+  ['an old drain', { state: 'draining' }, { state: 'draining', sequence: 4 }, false],
+  [
+    'the drain of a later instance',
+    { state: 'gone' },
+    { state: 'draining', startedAtMs: 2_000 },
+    true,
+  ],
+];
+
+describe('departures that daemons tell one another', () => {
+  cases.forEach(([name, before, next, isTaken]) => {
+    it(`${isTaken ? 'take' : 'ignore'} ${name}`, () => {
+      const departures = createDepartures();
+      departures.record('d1', buildUpstream({ ...known, ...before }));
+      assert.equal(departures.record('d1', buildUpstream({ ...known, ...next })), isTaken);
+    });
+  });
+
+  it('keep an upstream that has left out of use after its daemon restarts', async () => {
+    const configuration = buildConfiguration([buildRule({ idempotent: false })]);
+    const cluster = await startCluster(configuration, ['desk', 'records']);
+    const [caller, leaving] = cluster.hosts as [TestHost, TestHost];
+    assert.equal((await sendCall(caller)).status, 200);
+    leaving.relay.upstreamTracker.receiveEnd('u1', 1);
+    await leaving.restart();
+    // A heartbeat that was sent before the end and delayed on the way.
+    leaving.sendHeartbeat();
+    const isClosed = async (): Promise<boolean> => (await sendCall(caller)).status === 503;
+    await waitUntil(() => leaving.relay.upstreamTracker.get()?.state === 'gone', 'told of the end');
+    assert.equal(await isClosed(), true);
+    assert.equal(leaving.requests.length, 1);
+    await cluster.close();
+  });
+});
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -71,6 +71,8 @@
         gate: createRecordingGate(paths),
         getStatus: () => ({ version: 1, platformAgeMs: 0 }),
         buildUpdate: () => undefined,
+        getDeparture: () => undefined,
+        receiveDeparture: () => {},
         receiveMember: () => {},
         log: createSilentLog(),
       });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUpstreamTracker.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUpstreamTracker.test.ts
@@ -97,3 +97,77 @@
     });
   });
 });
+
+interface RestoreCase {
+  readonly name: string;
+  /** What other daemons know of the upstream after the restart of its daemon. */
+  readonly restored: Partial<Upstream>;
+  /** The heartbeat that arrives next, or before if `isEarly`. */
+  readonly heartbeat: Partial<Upstream>;
+  readonly isEarly?: boolean;
+  /** State after both. */
+  readonly expected: Upstream['state'];
+}
+
+const restoreCases: readonly RestoreCase[] = [
+  {
+    name: 'closed to a late heartbeat of an instance that has left',
+    restored: { ...known, state: 'gone' },
+    heartbeat: { ...known, sequence: 4 },
+    expected: 'gone',
+  },
+  {
+    name: 'closed after a late heartbeat of an instance that has left',
+    restored: { ...known, state: 'gone' },
+    heartbeat: { ...known, sequence: 4 },
+    isEarly: true,
+    expected: 'gone',
+  },
+  {
+    name: 'closed to a heartbeat from before the drain',
+    restored: { ...known, state: 'draining' },
+    heartbeat: { ...known, sequence: 4 },
+    expected: 'draining',
+  },
+  {
+    name: 'closed after a heartbeat from before the drain',
+    restored: { ...known, state: 'draining' },
+    heartbeat: { ...known, sequence: 4 },
+    isEarly: true,
+    expected: 'draining',
+  },
+  {
+    name: 'open to a heartbeat after the drain',
+    restored: { ...known, state: 'draining' },
+    heartbeat: { ...known, sequence: 6 },
+    expected: 'ready',
+  },
+  {
+    name: 'open for a new instance while a neighbour tells of the last one',
+    restored: { ...known, state: 'gone' },
+    heartbeat: { ...known, startedAtMs: 2_000, sequence: 1 },
+    isEarly: true,
+    expected: 'ready',
+  },
+];
+
+describe('upstream of a restarted daemon', () => {
+  restoreCases.forEach(({ name, restored, heartbeat, isEarly = false, expected }) => {
+    it(`is ${name}`, () => {
+      const tracker = createUpstreamTracker({
+        heartbeatMs: 1_000,
+        clock: () => 0,
+        wallClock: () => 5_000,
+        log: createSilentLog(),
+        observe: () => {},
+      });
+      const receive = (): unknown =>
+        tracker.receive({ ...buildUpstream(heartbeat), address: '127.0.0.1:1' });
+      if (isEarly) receive();
+      tracker.receiveDeparture(buildUpstream(restored));
+      if (!isEarly) receive();
+      assert.equal(tracker.get()?.state, expected);
+      tracker.close();
+    });
+  });
+});
