Split the link out of the peer; let recent news go before an old list

Change: PeerLink connects, reconnects and reads; Peer holds calls and what is known of the gate. What was learned in the last 15 s goes before a list. The standby reader gathers versions for 1.2 s.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -55,6 +55,8 @@
 const STANDBY_WATCH_MS = 25_000;
 /** Pause before the next watch, so that versions in quick succession are read together. */
 const COALESCE_MS = 600;
+/** The same for a standby; short enough for it to take over while versions come. */
+const STANDBY_COALESCE_MS = 1_200;
 /** Age of a reader's last successful read beyond which it no longer counts as a reader. */
 const STALE_READER_MS = 3_600;
 /** Interval at which a daemon that is not a reader checks whether it has to become one. */
@@ -194,7 +196,8 @@
         const { sources, revision: next } = reading.unsafeCoerce();
         revision = next;
         this.applyReading(sources);
-        if (sources.length > 0) await waitMs(COALESCE_MS, signal);
+        const pauseMs = role === ReaderRole.Standby ? STANDBY_COALESCE_MS : COALESCE_MS;
+        if (sources.length > 0) await waitMs(pauseMs, signal);
         continue;
       }
       revision = this.handleFault(reading.swap().unsafeCoerce(), revision);
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -52,11 +52,19 @@
   readonly log: Log;
 }
 
+/** A daemon that this one knows. */
+interface KnownMember {
+  readonly member: Member;
+  readonly addedAtMs: number;
+}
+
+/** Greatest age of a list: what was learned since then goes before it. */
+const MAX_LIST_AGE_MS = 15_000;
 /** Interval between checks of which daemons to keep links to. */
 const LINK_CHECK_MS = 1_000;
 
 export function createMembers(options: MembersOptions): Members {
-  const known = new Map<string, Member>();
+  const known = new Map<string, KnownMember>();
   const peers = new Map<string, Peer>();
   // One timer for all links, so that the process is not woken once for each.
   const timers = [
@@ -107,20 +115,26 @@
 
   function replace(listed: readonly Member[]): void {
     const ids = new Set(listed.map((member) => member.id));
-    listed.forEach(addKnown);
+    listed.filter(({ id }) => !isRecent(id)).forEach(addKnown);
     known.forEach((_, id) => {
-      if (!ids.has(id) && peers.get(id)?.isConnected() !== true) removeKnown(id);
+      if (!ids.has(id) && !isRecent(id) && peers.get(id)?.isConnected() !== true) removeKnown(id);
     });
     updateLinks();
   }
 
+  /** Whether the daemon was added so recently that an old list may not hold it yet. */
+  function isRecent(id: string): boolean {
+    const addedAtMs = known.get(id)?.addedAtMs;
+    return addedAtMs !== undefined && options.clock() - addedAtMs < MAX_LIST_AGE_MS;
+  }
+
   /** Remembers a daemon; false if it is already known at this address. */
   function addKnown(member: Member): boolean {
     if (member.id === options.self.id) return false;
-    if (known.get(member.id)?.address === member.address) return false;
+    if (known.get(member.id)?.member.address === member.address) return false;
     options.log.info('member-added', { member: member.id, address: member.address });
     removePeer(member.id);
-    known.set(member.id, member);
+    known.set(member.id, { member, addedAtMs: options.clock() });
     return true;
   }
 
@@ -132,7 +146,7 @@
 
   /** Opens the links that the plan wants; closes the others once no call is under way on them. */
   function updateLinks(): void {
-    const candidates = [...known.values()].map((member) => ({
+    const candidates = [...known.values()].map(({ member }) => ({
       member,
       state: getLinkState(peers.get(member.id)),
     }));
@@ -140,7 +154,7 @@
     peers.forEach((peer, id) => {
       if (!chosen.has(id) && peer.isIdle()) removePeer(id);
     });
-    known.forEach((member, id) => {
+    known.forEach(({ member }, id) => {
       if (chosen.has(id) && !peers.has(id)) peers.set(id, createPeer({ ...options, member }));
     });
   }
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -1,13 +1,8 @@
-import { connect, type Socket } from 'node:net';
-import { type Clock, formatError, type Log, parseAddress, waitMs } from '@cactusdeal/shared';
+import type { Clock, Log } from '@cactusdeal/shared';
 import type { GateView, Refusal } from './CactusdealRelayBalancer.js';
-import {
-  createMessageReader,
-  encodeMessage,
-  type Message,
-  MessageKind,
-} from './CactusdealRelayFrames.js';
+import { type Message, MessageKind } from './CactusdealRelayFrames.js';
 import { createGateLatency, type GateLatency } from './CactusdealRelayGateLatency.js';
+import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -95,11 +90,8 @@
 /** Interval between checks of all links for silence. */
 export const SILENCE_CHECK_MS = 150;
 
-const CONNECT_TIMEOUT_MS = 1_000;
 /** Time without a link after which another gate should take this one's place. */
 const FAILING_AFTER_MS = 2_500;
-const MIN_BACKOFF_MS = 50;
-const MAX_BACKOFF_MS = 1_500;
 /** Silence with calls pending after which the peer is pinged. */
 const PING_AFTER_MS = 250;
 /**
@@ -123,12 +115,8 @@
 class OutgoingPeer implements Peer {
   public readonly member: Member;
 
-  private readonly stop = new AbortController();
-
   private readonly pendingCalls = new Map<number, PendingCall>();
 
-  private socket: Socket | undefined;
-
   private report: GateReport | undefined;
 
   private reportedAtMs = 0;
@@ -144,23 +132,25 @@
 
   private status: (Status & { readonly atMs: number }) | undefined;
 
-  private lastReceivedAtMs = 0;
-
-  private lastConnectedAtMs: number;
-
   private nextId = 1;
 
-  private backoffMs = MIN_BACKOFF_MS;
+  private readonly link: PeerLink;
 
   public constructor(private readonly options: PeerOptions) {
     this.member = options.member;
     this.latency = createGateLatency(options.clock);
-    this.lastConnectedAtMs = options.clock();
-    void this.run();
+    this.link = createPeerLink({
+      member: options.member,
+      clock: options.clock,
+      log: options.log,
+      open: () => this.startLink(),
+      receive: (message) => this.receive(message),
+      end: () => this.endLink(),
+    });
   }
 
   public isConnected(): boolean {
-    return this.socket !== undefined;
+    return this.link.isOpen();
   }
 
   public isUsable(): boolean {
@@ -168,7 +158,7 @@
   }
 
   public getDisconnectedMs(): number {
-    return this.isConnected() ? 0 : this.options.clock() - this.lastConnectedAtMs;
+    return this.link.getDisconnectedMs();
   }
 
   public isIdle(): boolean {
@@ -176,11 +166,11 @@
   }
 
   public getService(): string | undefined {
-    return this.socket === undefined ? undefined : this.report?.service;
+    return this.isConnected() ? this.report?.service : undefined;
   }
 
   public getView(kind: string, estimateCapMs: number): GateView | undefined {
-    if (this.socket === undefined || this.report === undefined) return undefined;
+    if (!this.isConnected() || this.report === undefined) return undefined;
     const { report, reportedAtMs, unreportedCalls } = this;
     const avoidedUntilMs = this.isSuspect() ? Infinity : this.avoidedUntilMs;
     const serviceMs = this.latency.getServiceMs(kind) ?? Math.min(report.serviceMs, estimateCapMs);
@@ -200,71 +190,17 @@
   }
 
   public getStatus(): (Status & { readonly atMs: number }) | undefined {
-    return this.socket === undefined ? undefined : this.status;
-  }
-
-  /** Connects, serves the link until it ends, and reconnects with exponential backoff. */
-  private async run(): Promise<void> {
-    const { signal } = this.stop;
-    while (!signal.aborted) {
-      const end = await this.serveLink();
-      if (signal.aborted) return;
-      this.options.log.info('link-lost', { peer: this.member.id, reason: end });
-      await waitMs(this.backoffMs * (0.5 + Math.random()), signal);
-      this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
-    }
+    return this.isConnected() ? this.status : undefined;
   }
 
-  /** Connects and reads messages; resolves to the reason when the connection ends. */
-  private serveLink(): Promise<string> {
-    const { host, port } = parseAddress(this.member.address);
-    const socket = connect({ host, port, noDelay: true });
-    return new Promise((resolve) => {
-      let reason = 'closed by the peer';
-      const timeout = setTimeout(
-        () => socket.destroy(new Error(`connecting took longer than ${CONNECT_TIMEOUT_MS} ms`)),
-        CONNECT_TIMEOUT_MS,
-      );
-      const close = (): unknown => socket.destroy();
-      this.stop.signal.addEventListener('abort', close, { once: true });
-      socket.on('connect', () => {
-        clearTimeout(timeout);
-        this.startLink(socket);
-      });
-      const read = createMessageReader((message) => this.receive(message));
-      socket.on('data', (chunk: Buffer) => {
-        this.lastReceivedAtMs = this.options.clock();
-        try {
-          read(chunk);
-        } catch (caught) {
-          socket.destroy(new Error(formatError(caught)));
-        }
-      });
-      socket.on('error', (error) => {
-        reason = formatError(error);
-      });
-      socket.on('close', () => {
-        clearTimeout(timeout);
-        this.stop.signal.removeEventListener('abort', close);
-        this.endLink();
-        resolve(reason);
-      });
-    });
-  }
-
-  private startLink(socket: Socket): void {
-    const { self, getStatus, clock, log } = this.options;
-    this.socket = socket;
-    this.lastReceivedAtMs = clock();
-    this.write(toHelloMessage(self, getStatus()));
-    const departure = this.options.getDeparture(this.member.id);
-    if (departure !== undefined) this.write(toDepartureMessage(this.member.id, departure));
-    log.info('link-opened', { peer: this.member.id });
+  private startLink(): void {
+    const { self, member, getStatus, getDeparture } = this.options;
+    this.link.write(toHelloMessage(self, getStatus()));
+    const departure = getDeparture(member.id);
+    if (departure !== undefined) this.link.write(toDepartureMessage(member.id, departure));
   }
 
   private endLink(): void {
-    if (this.socket !== undefined) this.lastConnectedAtMs = this.options.clock();
-    this.socket = undefined;
     this.report = undefined;
     this.status = undefined;
     this.unreportedCalls = 0;
@@ -275,20 +211,17 @@
   }
 
   private isSuspect(): boolean {
-    return (
-      this.pendingCalls.size > 0 && this.options.clock() - this.lastReceivedAtMs > SUSPECT_AFTER_MS
-    );
+    return this.pendingCalls.size > 0 && this.link.getSilentMs() > SUSPECT_AFTER_MS;
   }
 
   public checkSilence(): void {
-    const { socket } = this;
-    if (socket === undefined) return;
-    const silentMs = this.options.clock() - this.lastReceivedAtMs;
+    if (!this.isConnected()) return;
+    const silentMs = this.link.getSilentMs();
     const isWaiting = this.pendingCalls.size > 0;
     if (silentMs > (isWaiting ? LINK_TIMEOUT_MS : IDLE_LINK_TIMEOUT_MS)) {
-      socket.destroy(new Error(`silent for ${Math.round(silentMs)} ms`));
+      this.link.fail(`silent for ${Math.round(silentMs)} ms`);
     } else if (isWaiting && silentMs > PING_AFTER_MS) {
-      this.write([MessageKind.Ping]);
+      this.link.write([MessageKind.Ping]);
     }
   }
 
@@ -327,10 +260,10 @@
   private receiveHello(message: Message): void {
     const { member, status } = parseHello(message);
     if (member.id !== this.member.id) {
-      this.socket?.destroy(new Error(`daemon ${member.id} answers at ${this.member.address}`));
+      this.link.fail(`daemon ${member.id} answers at ${this.member.address}`);
       return;
     }
-    this.backoffMs = MIN_BACKOFF_MS;
+    this.link.accept();
     this.setStatus(status);
   }
 
@@ -374,7 +307,7 @@
   }
 
   public send(call: GateCall): Attempt {
-    if (this.socket === undefined) {
+    if (!this.isConnected()) {
       return { end: Promise.resolve(buildNotRun(NotRunReason.Unreachable)), cancel: () => {} };
     }
     const id = this.nextId;
@@ -391,9 +324,9 @@
         settle: resolve,
       });
     });
-    if (this.pendingCalls.size === 1) this.lastReceivedAtMs = this.options.clock();
+    if (this.pendingCalls.size === 1) this.link.resetSilence();
     this.unreportedCalls += 1;
-    this.write(toCallMessage(id, call));
+    this.link.write(toCallMessage(id, call));
     return { end, cancel: () => this.cancel(id) };
   }
 
@@ -402,7 +335,7 @@
     if (pending === undefined) return;
     this.pendingCalls.delete(id);
     this.latency.recordAbandoned(pending.kind, this.options.clock() - pending.sentAtMs);
-    this.write([MessageKind.Cancel, id]);
+    this.link.write([MessageKind.Cancel, id]);
     pending.settle({ type: 'unknown', reason: UnknownReason.Cancelled });
   }
 
@@ -411,15 +344,11 @@
   }
 
   public requestConfiguration(version: number): void {
-    this.write([MessageKind.ConfigurationRequest, version]);
-  }
-
-  private write(message: Message): void {
-    this.socket?.write(encodeMessage(message));
+    this.link.write([MessageKind.ConfigurationRequest, version]);
   }
 
   public close(): void {
-    this.stop.abort();
+    this.link.close();
   }
 }
 
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayPeerLink.ts
@@ -0,0 +1,158 @@
+import { connect, type Socket } from 'node:net';
+import { type Clock, formatError, type Log, parseAddress, waitMs } from '@cactusdeal/shared';
+import { createMessageReader, encodeMessage, type Message } from './CactusdealRelayFrames.js';
+import type { Member } from './CactusdealRelayTypes.js';
+
+/** The connection to another daemon, opened again whenever it ends. */
+export interface PeerLink {
+  isOpen(): boolean;
+  /** Writes a message; does nothing without a connection. */
+  write(message: Message): void;
+  /** Ends the connection; `reason` goes to the log. */
+  fail(reason: string): void;
+  /** Time since the last data, in milliseconds. */
+  getSilentMs(): number;
+  /** Starts the time of silence anew. */
+  resetSilence(): void;
+  /** Time without a connection, in milliseconds; 0 while there is one. */
+  getDisconnectedMs(): number;
+  /** Records that the other daemon is the right one, so that reconnecting need not wait long. */
+  accept(): void;
+  close(): void;
+}
+
+export interface PeerLinkOptions {
+  /** The other daemon. */
+  readonly member: Member;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Called when the connection is open. */
+  readonly open: () => void;
+  /** Called with each message; what it throws ends the connection. */
+  readonly receive: (message: Message) => void;
+  /** Called after the connection has ended. */
+  readonly end: () => void;
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const MIN_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 1_500;
+
+/** Creates a link, which connects and reconnects with exponential backoff until it is closed. */
+export function createPeerLink(options: PeerLinkOptions): PeerLink {
+  return new ReconnectingLink(options);
+}
+
+class ReconnectingLink implements PeerLink {
+  private readonly stop = new AbortController();
+
+  private socket: Socket | undefined;
+
+  private lastReceivedAtMs = 0;
+
+  private lastConnectedAtMs: number;
+
+  private backoffMs = MIN_BACKOFF_MS;
+
+  public constructor(private readonly options: PeerLinkOptions) {
+    this.lastConnectedAtMs = options.clock();
+    void this.run();
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      const reason = await this.connect();
+      if (signal.aborted) return;
+      this.options.log.info('link-lost', { peer: this.options.member.id, reason });
+      await waitMs(this.backoffMs * (0.5 + Math.random()), signal);
+      this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
+    }
+  }
+
+  /** Connects and reads messages; resolves to the reason when the connection ends. */
+  private connect(): Promise<string> {
+    const { host, port } = parseAddress(this.options.member.address);
+    const socket = connect({ host, port, noDelay: true });
+    return new Promise((resolve) => {
+      let reason = 'closed by the peer';
+      const timeout = setTimeout(
+        () => socket.destroy(new Error(`connecting took longer than ${CONNECT_TIMEOUT_MS} ms`)),
+        CONNECT_TIMEOUT_MS,
+      );
+      const close = (): unknown => socket.destroy();
+      this.stop.signal.addEventListener('abort', close, { once: true });
+      socket.on('connect', () => {
+        clearTimeout(timeout);
+        this.startConnection(socket);
+      });
+      this.readMessages(socket);
+      socket.on('error', (error) => {
+        reason = formatError(error);
+      });
+      socket.on('close', () => {
+        clearTimeout(timeout);
+        this.stop.signal.removeEventListener('abort', close);
+        this.endConnection();
+        resolve(reason);
+      });
+    });
+  }
+
+  private startConnection(socket: Socket): void {
+    this.socket = socket;
+    this.resetSilence();
+    this.options.log.info('link-opened', { peer: this.options.member.id });
+    this.options.open();
+  }
+
+  private readMessages(socket: Socket): void {
+    const read = createMessageReader(this.options.receive);
+    socket.on('data', (chunk: Buffer) => {
+      this.resetSilence();
+      try {
+        read(chunk);
+      } catch (caught) {
+        socket.destroy(new Error(formatError(caught)));
+      }
+    });
+  }
+
+  private endConnection(): void {
+    if (this.socket !== undefined) this.lastConnectedAtMs = this.options.clock();
+    this.socket = undefined;
+    this.options.end();
+  }
+
+  public isOpen(): boolean {
+    return this.socket !== undefined;
+  }
+
+  public write(message: Message): void {
+    this.socket?.write(encodeMessage(message));
+  }
+
+  public fail(reason: string): void {
+    this.socket?.destroy(new Error(reason));
+  }
+
+  public getSilentMs(): number {
+    return this.options.clock() - this.lastReceivedAtMs;
+  }
+
+  public resetSilence(): void {
+    this.lastReceivedAtMs = this.options.clock();
+  }
+
+  public getDisconnectedMs(): number {
+    return this.isOpen() ? 0 : this.options.clock() - this.lastConnectedAtMs;
+  }
+
+  public accept(): void {
+    this.backoffMs = MIN_BACKOFF_MS;
+  }
+
+  public close(): void {
+    this.stop.abort();
+  }
+}
