--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -60,7 +60,10 @@
    * whole one.
    */
   requestConfiguration(version: number): void;
-  /** Closes the link if it has been silent for too long; called every `SILENCE_CHECK_MS`. */
+  /**
+   * Gives up the idempotent calls of a silent link, and closes it once no call waits on it; called
+   * every `SILENCE_CHECK_MS`.
+   */
   checkSilence(): void;
   close(): void;
 }
@@ -78,6 +81,7 @@
 /** A call that was sent over the link and has not ended. */
 interface PendingCall {
   readonly kind: string;
+  readonly idempotent: boolean;
   readonly targetMs: number;
   readonly sentAtMs: number;
   /** Pieces of a large answer that have arrived. */
@@ -99,8 +103,11 @@
  * calls.
  */
 const SUSPECT_AFTER_MS = 400;
-/** Silence with calls pending after which the link is closed as lost. */
-const LINK_TIMEOUT_MS = 900;
+/**
+ * Silence with calls pending after which the idempotent ones are given up, to run elsewhere. The
+ * others may have run: they wait for the daemon to go on, as it may only be paused or cut off.
+ */
+const GIVE_UP_AFTER_MS = 900;
 /**
  * Silence without pending calls after which the link is closed as lost; well above the interval
  * between reports.
@@ -134,6 +141,9 @@
 
   private nextId = 1;
 
+  /** Whether calls were given up since the last message. */
+  private hasGivenUp = false;
+
   private readonly link: PeerLink;
 
   public constructor(private readonly options: PeerOptions) {
@@ -205,27 +215,41 @@
     this.status = undefined;
     this.unreportedCalls = 0;
     this.refusals.clear();
+    this.hasGivenUp = false;
     const lostCalls = [...this.pendingCalls.values()];
     this.pendingCalls.clear();
     lostCalls.forEach(({ settle }) => settle({ type: 'unknown', reason: UnknownReason.LinkLost }));
   }
 
   private isSuspect(): boolean {
+    if (this.hasGivenUp) return true;
     return this.pendingCalls.size > 0 && this.link.getSilentMs() > SUSPECT_AFTER_MS;
   }
 
   public checkSilence(): void {
     if (!this.isConnected()) return;
     const silentMs = this.link.getSilentMs();
-    const isWaiting = this.pendingCalls.size > 0;
-    if (silentMs > (isWaiting ? LINK_TIMEOUT_MS : IDLE_LINK_TIMEOUT_MS)) {
-      this.link.fail(`silent for ${Math.round(silentMs)} ms`);
-    } else if (isWaiting && silentMs > PING_AFTER_MS) {
-      this.link.write([MessageKind.Ping]);
+    if (this.pendingCalls.size > 0) {
+      if (silentMs > GIVE_UP_AFTER_MS) this.cancelIdempotent();
+      else if (silentMs > PING_AFTER_MS) this.link.write([MessageKind.Ping]);
     }
+    const isUseless = this.hasGivenUp || silentMs > IDLE_LINK_TIMEOUT_MS;
+    if (isUseless && this.pendingCalls.size === 0)
+      this.link.fail(`silent for ${Math.round(silentMs)} ms`);
+  }
+
+  private cancelIdempotent(): void {
+    this.hasGivenUp = true;
+    this.pendingCalls.forEach(({ idempotent, settle }, id) => {
+      if (!idempotent) return;
+      this.pendingCalls.delete(id);
+      this.link.write([MessageKind.Cancel, id]);
+      settle({ type: 'unknown', reason: UnknownReason.LinkLost });
+    });
   }
 
   private receive(message: Message): void {
+    this.hasGivenUp = false;
     switch (message[0]) {
       case MessageKind.Answer:
       case MessageKind.NotRun:
@@ -314,9 +338,10 @@
     this.nextId += 1;
     const end = new Promise<AttemptEnd>((resolve) => {
       const { clock } = this.options;
-      const { kind, targetMs } = call;
+      const { kind, idempotent, targetMs } = call;
       this.pendingCalls.set(id, {
         kind,
+        idempotent,
         targetMs,
         sentAtMs: clock(),
         pieces: [],
--- /dev/null
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import { createServer, type Server, type Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import { createSilentLog, getMonotonicMs, parseAddress } from '@cactusdeal/shared';
+import {
+  createMessageReader,
+  encodeMessage,
+  type Message,
+  MessageKind,
+} from '../../CactusdealRelayFrames.js';
+import { createPeer, type Peer, SILENCE_CHECK_MS } from '../../CactusdealRelayPeer.js';
+import type { AttemptEnd, GateCall, Member } from '../../CactusdealRelayTypes.js';
+import { toEndMessage, toHelloMessage, toReportMessage } from '../../CactusdealRelayWire.js';
+import { findAddress, waitUntil } from '../CactusdealRelayTestCluster.js';
+
+const self: Member = { id: 'd1', dataCentre: 'west', service: 'desk', address: '127.0.0.1:1' };
+const status = { version: 1, platformAgeMs: -1 };
+const report = {
+  service: 'records',
+  open: true,
+  capacity: 4,
+  load: 0,
+  serviceMs: 10,
+  failureRate: 0,
+};
+const answered: AttemptEnd = {
+  type: 'answered',
+  answer: { status: 200, headers: [], body: new Uint8Array(2) },
+  serviceMs: 5,
+  queuedMs: 0,
+  nestedFailed: false,
+};
+
+/** A daemon that greets and then says nothing until the test does. */
+interface SilentDaemon {
+  readonly peer: Peer;
+  /** Messages that it has received. */
+  readonly received: Message[];
+  send(message: Message): void;
+  countConnections(): number;
+  close(): void;
+}
+
+async function startDaemon(greetedId = 'd2'): Promise<SilentDaemon> {
+  const address = await findAddress();
+  const member = { ...self, id: 'd2', service: 'records', address };
+  const received: Message[] = [];
+  const sockets: Socket[] = [];
+  const send = (message: Message): unknown => sockets.at(-1)?.write(encodeMessage(message));
+  const server: Server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => {});
+    const read = createMessageReader((message) => received.push(message));
+    socket.on('data', (chunk: Buffer) => read(chunk));
+    send(toHelloMessage({ ...member, id: greetedId }, status));
+    send(toReportMessage(report));
+  });
+  const { host, port } = parseAddress(address);
+  await new Promise<void>((resolve) => {
+    server.listen(port, host, resolve);
+  });
+  const peer = createPeer({
+    member,
+    self,
+    getStatus: () => status,
+    getDeparture: () => undefined,
+    receiveDeparture: () => {},
+    receiveStatus: () => {},
+    receiveUpdate: () => {},
+    clock: getMonotonicMs,
+    log: createSilentLog(),
+  });
+  const timer = setInterval(() => peer.checkSilence(), SILENCE_CHECK_MS);
+  return {
+    peer,
+    received,
+    send,
+    countConnections: () => sockets.length,
+    close: () => {
+      clearInterval(timer);
+      peer.close();
+      server.close();
+    },
+  };
+}
+
+function buildCall(idempotent: boolean): GateCall {
+  return {
+    service: 'records',
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: undefined,
+    remainingMs: 10_000,
+    targetMs: 1_000,
+    priority: 1,
+    kind: 'k',
+    idempotent,
+    isNested: false,
+  };
+}
+
+describe('a daemon that falls silent with calls running', () => {
+  it('keeps the call that may have run, whose answer still arrives', async () => {
+    const daemon = await startDaemon();
+    const { peer } = daemon;
+    await waitUntil(() => peer.getService() === 'records', 'the report arrives');
+    const once = peer.send(buildCall(false)).end;
+    const repeatable = peer.send(buildCall(true)).end;
+    assert.deepEqual(await repeatable, { type: 'unknown', reason: 'link-lost' });
+    assert.equal(peer.getView('k', 100)?.avoidedUntilMs, Infinity, 'it gets no new call');
+    daemon.send(toEndMessage(1, answered, report));
+    assert.equal((await once).type, 'answered');
+    assert.equal(daemon.countConnections(), 1);
+    assert.ok(
+      daemon.received.some(([kind, id]) => kind === MessageKind.Cancel && id === 2),
+      'the call that runs elsewhere is cancelled',
+    );
+    assert.notEqual(peer.getView('k', 100)?.avoidedUntilMs, Infinity, 'it is used again');
+    daemon.close();
+  });
+
+  it('loses its link once no call waits on it', async () => {
+    const daemon = await startDaemon();
+    await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
+    const end = await daemon.peer.send(buildCall(true)).end;
+    assert.equal(end.type, 'unknown');
+    await waitUntil(() => daemon.countConnections() === 2, 'a new link is opened');
+    daemon.close();
+  });
+});
+
+describe('a daemon that answers at the address of another', () => {
+  it('gets no calls', async () => {
+    const daemon = await startDaemon('d9');
+    await waitUntil(() => daemon.countConnections() >= 2, 'the link is closed and opened again');
+    assert.equal(daemon.peer.getStatus(), undefined);
+    daemon.close();
+  });
+});
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
@@ -121,6 +121,61 @@
   });
 });
 
+interface CopyCase {
+  readonly name: string;
+  /** The second copy of the answer to the first request, or a part of it. */
+  readonly copy: string;
+  /** Time from the first answer to its copy, in milliseconds. */
+  readonly afterMs: number;
+}
+
+const answerTo = (id: string): string =>
+  `HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-length: 2\r\n\r\n${id}`;
+
+const copyCases: readonly CopyCase[] = [0, 1, 5, 20, 100].flatMap((afterMs) => [
+  { name: 'whole', copy: answerTo('c1'), afterMs },
+  { name: 'cut in its head', copy: answerTo('c1').slice(0, 12), afterMs },
+  { name: 'cut in its body', copy: answerTo('c1').slice(0, -1), afterMs },
+]);
+
+describe('a second copy of an answer', () => {
+  copyCases.forEach(({ name, copy, afterMs }) => {
+    it(`reaches no other caller, ${name} after ${afterMs} ms`, async () => {
+      let isCopied = false;
+      const asked = new Set<string>();
+      const server = createServer((socket) => {
+        socket.on('error', () => {});
+        socket.on('data', (data: Buffer) => {
+          const [, id = ''] = /x-ask: (\w+)/.exec(data.toString()) ?? [];
+          asked.add(id);
+          if (id === 'c1') socket.write(answerTo('c1'));
+          // The copy goes ahead of the answer to the request that uses the connection again.
+          else if (!isCopied) socket.write(copy, () => socket.write(answerTo(id)));
+          else socket.write(answerTo(id));
+          isCopied = id !== 'c1';
+        });
+        setTimeout(() => {
+          if (!isCopied) socket.write(copy);
+          isCopied = true;
+        }, afterMs);
+      });
+      const pool = createPool(await listen(server));
+      const ask = (id: string): Promise<UpstreamEnd> =>
+        pool.send({ method: 'GET', path: '/', headers: ['x-ask', id], body: undefined, id }).end;
+      await ask('c1');
+      const ends = [await ask('c2'), await ask('c3')];
+      ends.forEach((end, index) => {
+        const id = `c${index + 2}`;
+        if (end.type === 'answered') assert.equal(Buffer.from(end.answer.body).toString(), id);
+        else assert.ok(end.type === 'broken' || !asked.has(id), `${id} is unsent, but arrived`);
+      });
+      pool.close();
+      server.close();
+      server.unref();
+    });
+  });
+});
+
 interface EndlessCase {
   readonly name: string;
   /** Sent once. */
