--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
@@ -40,7 +40,7 @@
 
 interface Case {
   readonly name: string;
-  /** Steps between which the socket passes on what it has taken. */
+  /** What is asked of the writer before the socket passes on anything. */
   readonly steps: readonly ((writer: LinkWriter) => void)[];
   readonly expected: readonly string[];
 }
@@ -52,13 +52,22 @@
     expected: ['piece 1', 'end 2', 'piece 1', 'piece 1', 'end 1'],
   },
   {
-    name: 'the pieces of two large answers in turn',
+    name: 'the end of an answer right after its last piece',
     steps: [
       (writer) => writer.writeLarge(1, body(2), end(1)),
       (writer) => writer.writeLarge(2, body(2), end(2)),
     ],
     expected: ['piece 1', 'piece 1', 'end 1', 'piece 2', 'piece 2', 'end 2'],
   },
+  {
+    name: 'the pieces of large answers that wait in turn',
+    steps: [
+      (writer) => writer.write(end(9)),
+      (writer) => writer.writeLarge(1, body(2), end(1)),
+      (writer) => writer.writeLarge(2, body(1), end(2)),
+    ],
+    expected: ['end 9', 'piece 1', 'piece 2', 'end 2', 'piece 1', 'end 1'],
+  },
   {
     name: 'nothing more of an answer that is discarded',
     steps: [(writer) => writer.writeLarge(1, body(3), end(1)), (writer) => writer.discard(1)],
@@ -76,15 +85,4 @@
       assert.deepEqual(socket.messages.map(format), expected);
     });
   });
-
-  it('takes turns between large answers that wait', () => {
-    const socket = new NarrowSocket();
-    const writer = createLinkWriter(socket as unknown as LinkSocket);
-    writer.write(end(9));
-    writer.writeLarge(1, body(2), end(1));
-    writer.writeLarge(2, body(1), end(2));
-    for (let round = 0; round < 10; round += 1) socket.passOn();
-    const written = socket.messages.map(format);
-    assert.deepEqual(written, ['end 9', 'piece 1', 'piece 2', 'end 2', 'piece 1', 'end 1']);
-  });
 });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { getMonotonicMs } from '@cactusdeal/shared';
+import { type EndlessData, LONG_TEXT, startEndlessServer } from '@cactusdeal/testing';
 import { createUpstreamPool, type UpstreamEnd } from '../../CactusdealRelayUpstream.js';
 import { MAX_ANSWER_BYTES } from '../../CactusdealRelayUpstreamAnswer.js';
 
@@ -176,15 +177,11 @@
   });
 });
 
-interface EndlessCase {
+interface EndlessCase extends EndlessData {
   readonly name: string;
-  /** Sent once. */
-  readonly start: string;
-  /** Sent again and again until the connection is closed. */
-  readonly unit: string;
 }
 
-const unit = 'x'.repeat(64 * 1024);
+const unit = LONG_TEXT;
 const endlessCases: readonly EndlessCase[] = [
   { name: 'a status line', start: 'HTTP/1.1 200 ', unit },
   { name: 'header lines', start: 'HTTP/1.1 200 OK\r\n', unit: 'x-more: 1\r\n'.repeat(1_000) },
@@ -216,43 +213,23 @@
 const ENDLESS_LIMIT_MS = 4_000;
 
 describe('data without end from the upstream', () => {
-  endlessCases.forEach(({ name, start, unit: repeated }) => {
+  endlessCases.forEach(({ name, ...data }) => {
     it(`ends the connection: ${name}`, { timeout: 2 * ENDLESS_LIMIT_MS }, async () => {
-      const closed: Promise<number>[] = [];
-      const server = createServer((socket) => {
-        socket.on('error', () => {});
-        closed.push(writeEndlessly(socket, start, repeated));
-      });
-      const pool = createPool(await listen(server));
+      const server = await startEndlessServer(data);
+      const pool = createPool(server.address);
       const call = pool.send({ method: 'GET', path: '/', headers: [], body: undefined, id: 'c1' });
       const timer = setTimeout(() => call.cancel(), ENDLESS_LIMIT_MS);
       const end = await call.end;
       clearTimeout(timer);
       assert.ok(end.type !== 'answered' || name === 'data after an answer', end.type);
-      const [sentBytes = 0] = await Promise.all(closed);
-      assert.ok(sentBytes < MAX_TAKEN_BYTES, `${sentBytes} bytes taken`);
+      const takenBytes = await server.takenBytes;
+      assert.ok(takenBytes < MAX_TAKEN_BYTES, `${takenBytes} bytes taken`);
       pool.close();
       server.close();
     });
   });
 });
 
-/** Resolves to the number of bytes written when the connection closes. */
-function writeEndlessly(socket: Socket, start: string, repeated: string): Promise<number> {
-  return new Promise((resolve) => {
-    socket.on('close', () => resolve(socket.bytesWritten));
-    socket.once('data', () => {
-      socket.write(start);
-      writeMore();
-    });
-    socket.on('drain', writeMore);
-
-    function writeMore(): void {
-      while (!socket.destroyed && socket.write(repeated));
-    }
-  });
-}
-
 function createPool(address: string): ReturnType<typeof createUpstreamPool> {
   return createUpstreamPool({ address, idField: 'x-id', clock: getMonotonicMs });
 }
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -27,6 +27,12 @@
   SettingsOverrides,
   WorkerSpec,
 } from './CactusdealTestingClusterTypes.js';
+export {
+  type EndlessData,
+  type EndlessServer,
+  LONG_TEXT,
+  startEndlessServer,
+} from './CactusdealTestingEndlessServer.js';
 export {
   type ByteCounts,
   FaultDirection,
