Give calls with large answers a kind of their own

Cause: the route's property was set and read nowhere; a route of downloads with the rank and target of another shared its expected times. Change: the kind of a call names large answers. Result: route tests passed (kinds of three rules).

--- a/packages/relay/src/CactusdealRelayRoutes.ts
+++ b/packages/relay/src/CactusdealRelayRoutes.ts
@@ -30,8 +30,13 @@
 }
 
 function buildRoute(rule: RouteRule): CompiledRoute {
-  const kind = `${rule.priority}/${rule.targetMs}/${rule.idempotent ? 'repeatable' : 'once'}`;
-  return { rule, kind, pickService: createServicePicker(rule.destinations) };
+  return { rule, kind: formatKind(rule), pickService: createServicePicker(rule.destinations) };
+}
+
+/** Large answers have a kind of their own, as their transfer takes its time. */
+function formatKind({ priority, targetMs, idempotent, hasLargeAnswers }: RouteRule): string {
+  const kind = `${priority}/${targetMs}/${idempotent ? 'repeatable' : 'once'}`;
+  return hasLargeAnswers ? `${kind}/large` : kind;
 }
 
 /** Removes the port and converts to lower case. */
--- a/packages/relay/src/__tests__/unit/CactusdealRelayRoutes.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRoutes.test.ts
@@ -42,6 +42,21 @@
     [[1, 1, 2], 8, [2, 2, 4]],
   ];
 
+const kinds: readonly [rule: Parameters<typeof buildRule>[0], expected: string][] = [
+  [{}, '1/500/repeatable'],
+  [{ idempotent: false }, '1/500/once'],
+  [{ hasLargeAnswers: true }, '1/500/repeatable/large'],
+];
+
+describe('kind of the calls of a route', () => {
+  kinds.forEach(([rule, expected]) => {
+    it(`is ${expected}`, () => {
+      const { match } = buildRouteTable(buildConfiguration([buildRule(rule)]));
+      assert.equal(match('a.example', '/')?.kind, expected);
+    });
+  });
+});
+
 describe('weights of a route', () => {
   splits.forEach(([weights, calls, expected]) => {
     it(`splits ${calls} calls by ${weights.join(':')}`, () => {
