--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -7,7 +7,7 @@
 } from 'node:http';
 import { type AddressInfo, createServer as createNetServer } from 'node:net';
 import { Left, Right } from 'purify-ts';
-import { waitMs } from '@cactusdeal/shared';
+import { parseAddress, waitMs } from '@cactusdeal/shared';
 import type { ConfigurationSource, MemberRegistry } from '../CactusdealRelayPorts.js';
 import type { HeaderNames, Member, RelayConfiguration } from '../CactusdealRelayTypes.js';
 import { type Relay, type RelayOptions, startRelay } from '../CactusdealRelayWiring.js';
@@ -63,15 +63,27 @@
   readonly id: string;
   /** Requests that reached the upstream. */
   readonly requests: IncomingMessage[];
+  /** Whether the cluster is closed, so that nothing starts again. */
+  isClosed: boolean;
   serve: RequestHandler;
   /** Stops the daemon and starts it anew at the same addresses; resolves when it is linked again. */
   restart(): Promise<void>;
   /** Passes a heartbeat of the upstream to its daemon. */
   sendHeartbeat(changes?: HeartbeatChanges): void;
+  /** Ends the upstream without notice; it starts again as a new instance after a while. */
+  crash(crash: UpstreamCrash): Promise<void>;
+}
+
+/** How an upstream ends without notice. Times in milliseconds from its end. */
+export interface UpstreamCrash {
+  /** Time until the listening socket closes, which may be later than the connections. */
+  readonly listensForMs: number;
+  /** Time until the upstream has started again. */
+  readonly downMs: number;
 }
 
 /**
- * Hosts in one data centre that share one configuration source and one registry, both in memory.
+ * Hosts that share one configuration source and one registry, both in memory.
  */
 export interface TestCluster {
   readonly hosts: readonly TestHost[];
@@ -83,13 +95,14 @@
 }
 
 /**
- * Starts one host for each element of `services`; resolves when all are ready and linked to one
- * another.
+ * Starts one host for each element of `services`, in one data centre unless `getDataCentre` names
+ * others by the host's index; resolves when all are ready and linked to one another.
  */
 export async function startCluster(
   configuration: RelayConfiguration,
   services: readonly string[],
   retryBudget: NonNullable<RelayOptions['retryBudget']> = MANY_RETRIES,
+  getDataCentre: (index: number) => string = () => 'west',
 ): Promise<TestCluster> {
   const members: Member[] = [];
   const published = [configuration];
@@ -98,7 +111,12 @@
   const servers: Server[] = [];
   const hosts = await Promise.all(
     services.map((service, index) =>
-      startHost(service, index, { source, registry, retryBudget }, servers),
+      startHost(
+        { id: `d${index}`, dataCentre: getDataCentre(index), service },
+        index,
+        { source, registry, retryBudget },
+        servers,
+      ),
     ),
   );
   hosts.forEach((host) => host.sendHeartbeat());
@@ -109,6 +127,10 @@
     observeRemoval: () => {},
     publish: (next) => published.push(next),
     close: async () => {
+      hosts.forEach((testHost) => {
+        const host = testHost;
+        host.isClosed = true;
+      });
       await Promise.all(hosts.map(({ relay }) => relay.close()));
       servers.forEach((server) => {
         server.closeAllConnections();
@@ -128,23 +150,27 @@
 }
 
 async function startHost(
-  service: string,
+  self: Omit<Member, 'address'>,
   index: number,
   parts: Pick<RelayOptions, 'source' | 'registry' | 'retryBudget'>,
   servers: Server[],
 ): Promise<TestHost> {
-  const id = `d${index}`;
+  const { id, service } = self;
   const requests: IncomingMessage[] = [];
-  const server = createServer((request_, response) => {
-    requests.push(request_);
-    host.serve(request_, response);
-  });
-  servers.push(server);
+  const startServer = (): Server => {
+    const started = createServer((request_, response) => {
+      requests.push(request_);
+      host.serve(request_, response);
+    });
+    servers.push(started);
+    return started;
+  };
+  let server = startServer();
   const upstreamAddress = await listen(server);
   const [entryAddress = '', linkAddress = ''] = await Promise.all([findAddress(), findAddress()]);
   const start = (): Promise<Relay> =>
     startRelay({
-      self: { id, dataCentre: 'west', service, address: linkAddress },
+      self: { ...self, address: linkAddress },
       entryAddress,
       upstreamAddress,
       heartbeatMs: 60_000,
@@ -154,11 +180,14 @@
       countLostLines: () => 0,
     });
   let sequence = 0;
+  let startedAtMs = 1;
+  let isDown = false;
   const host: TestHost = {
     relay: await start(),
     entryAddress,
     id,
     requests,
+    isClosed: false,
     serve: answerOk,
     restart: async () => {
       await host.relay.close();
@@ -173,11 +202,27 @@
         address: upstreamAddress,
         capacity: 2,
         state: 'ready',
-        startedAtMs: 1,
+        startedAtMs,
         sequence,
         ...changes,
       });
     },
+    crash: async ({ listensForMs, downMs }) => {
+      if (isDown) return;
+      isDown = true;
+      const ended = server;
+      ended.closeAllConnections();
+      await waitMs(listensForMs);
+      ended.close();
+      ended.closeAllConnections();
+      await waitMs(downMs - listensForMs);
+      if (host.isClosed) return;
+      server = startServer();
+      await listen(server, upstreamAddress);
+      isDown = false;
+      startedAtMs += 1;
+      host.sendHeartbeat();
+    },
   };
   return host;
 }
@@ -224,9 +269,11 @@
   };
 }
 
-function listen(server: Server): Promise<string> {
+/** Listens on the address, or on a free one; resolves to it. */
+function listen(server: Server, address = '127.0.0.1:0'): Promise<string> {
+  const { host, port } = parseAddress(address);
   return new Promise((resolve) => {
-    server.listen(0, '127.0.0.1', () => {
+    server.listen(port, host, () => {
       resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
     });
   });
