Move the quarantine into a package of its own

It, its exit watch, the fingerprint and the notices move to packages/quarantine, from which both ways can use one copy; the probe of an address moves to shared. The refusal is built by the gate, as each way has its own kind of refusal; a check gives the remaining time in its place, and the tests compare that.

--- a/packages/bench/src/CactusdealBenchLatencyHost.ts
+++ b/packages/bench/src/CactusdealBenchLatencyHost.ts
@@ -1,3 +1,4 @@
+import { createQuarantine } from '@cactusdeal/quarantine';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Snapshot } from '@cactusdeal/schema';
@@ -5,7 +6,6 @@
 import {
   type Claims,
   createGateQueue,
-  createQuarantine,
   createTrafficMetrics,
   type Gate,
   startCallListener,
--- a/packages/daemon/src/CactusdealDaemonComponents.ts
+++ b/packages/daemon/src/CactusdealDaemonComponents.ts
@@ -3,7 +3,8 @@
 import type { Platform } from '@cactusdeal/platform';
 import type { CompleteSettings } from '@cactusdeal/schema';
 import type { Log } from '@cactusdeal/shared';
-import type { Claims, GateQueue, SharedQuarantine } from '@cactusdeal/traffic';
+import type { Quarantine } from '@cactusdeal/quarantine';
+import type { Claims, GateQueue } from '@cactusdeal/traffic';
 import type { Registry } from 'prom-client';
 import type { LiveDirectory } from './CactusdealDaemonDirectory.js';
 import type { LocalWorkers } from './CactusdealDaemonWorkers.js';
@@ -20,5 +21,5 @@
   readonly directory: LiveDirectory;
   readonly queue: GateQueue;
   readonly claims: Claims;
-  readonly quarantine: SharedQuarantine;
+  readonly quarantine: Quarantine;
 }
--- a/packages/daemon/src/CactusdealDaemonMesh.ts
+++ b/packages/daemon/src/CactusdealDaemonMesh.ts
@@ -2,9 +2,9 @@
 import { createMesh, type Mesh } from '@cactusdeal/mesh';
 import { readReaders, readRoster } from '@cactusdeal/operator';
 import type { Platform } from '@cactusdeal/platform';
+import { createQuarantine, parseCrashNotice, type Quarantine } from '@cactusdeal/quarantine';
 import type { CompleteSettings } from '@cactusdeal/schema';
 import { type Clock, type Log } from '@cactusdeal/shared';
-import { type CrashNotice, createQuarantine, type SharedQuarantine } from '@cactusdeal/traffic';
 import { createMeshState } from './CactusdealDaemonMeshState.js';
 
 /** Contacts that are enough to join through; no more are read from the roster. */
@@ -52,7 +52,7 @@
   mesh: Pick<Mesh, 'publishNotice' | 'observeNotices'>,
   source: string,
   clock: Clock,
-): SharedQuarantine {
+): Quarantine {
   const quarantine = createQuarantine({
     clock,
     source,
@@ -68,16 +68,3 @@
   });
   return quarantine;
 }
-
-/** Parses a notice; undefined for anything else. Daemons of an older version do not send `inFlight`. */
-function parseCrashNotice(value: unknown): CrashNotice | undefined {
-  if (typeof value !== 'object' || value === null) return undefined;
-  const { source, fingerprint, crashes, inFlight = 1 } = value as Partial<CrashNotice>;
-  if (typeof source !== 'string' || typeof fingerprint !== 'string') return undefined;
-  if (!isCount(crashes) || !isCount(inFlight)) return undefined;
-  return { source, fingerprint, crashes, inFlight };
-}
-
-function isCount(value: unknown): value is number {
-  return Number.isSafeInteger(value) && (value as number) > 0;
-}
--- a/packages/traffic/src/CactusdealTrafficQuarantine.ts
+++ b/packages/quarantine/src/CactusdealQuarantine.ts
@@ -1,27 +1,12 @@
-import { createHash } from 'node:crypto';
 import type { Clock } from '@cactusdeal/shared';
-import { createNotRun } from './CactusdealTrafficRefusal.js';
-import type { Quarantine } from './CactusdealTrafficPolicyTypes.js';
-import { type Refusal, RefusalKind } from './CactusdealTrafficTypes.js';
-
-/** What a daemon tells the others of its data centre about a request that crashed its upstream. */
-export interface CrashNotice {
-  /** Id of the daemon that counted. */
-  readonly source: string;
-  /** Hash that identifies the request. */
-  readonly fingerprint: string;
-  /** Crashes that the daemon has counted in total. */
-  readonly crashes: number;
-  /** Fewest calls that one of the crashes interrupted. */
-  readonly inFlight: number;
-}
+import type { CrashNotice } from './CactusdealQuarantineNotice.js';
 
 /** Options of `createQuarantine`; times in milliseconds. */
 export interface QuarantineOptions {
   readonly clock: Clock;
-  /** Id of this daemon in its notices. */
+  /** Id of this daemon in its notices; another one after each start. */
   readonly source: string;
-  /** Sends a notice of this daemon's crashes to the daemons of its data centre. */
+  /** Sends a notice of this daemon's crashes to other daemons. */
   readonly publish: (notice: CrashNotice) => void;
   /** Crashes, over all daemons, after which requests with a fingerprint are refused. */
   readonly crashLimit?: number;
@@ -37,10 +22,25 @@
   readonly capacity?: number;
 }
 
-/** A quarantine that also counts the crashes that other daemons report. */
-export interface SharedQuarantine extends Quarantine {
+/** Counts, over all daemons, the crashes of upstreams by the requests that they interrupted. */
+export interface Quarantine {
+  /** How long requests with this fingerprint are still refused, in milliseconds; 0 if they are not. */
+  getRemainingMs(fingerprint: string): number;
+  /**
+   * Records a call that was in flight when an upstream crashed: its connection was lost and the
+   * upstream accepts no new ones. `inFlight` is the number of calls that the crash interrupted,
+   * including this one.
+   */
+  recordCrash(fingerprint: string, inFlight: number): void;
+  recordSuccess(fingerprint: string): void;
   /** Merges the total that another daemon has counted. Idempotent; lower totals are ignored. */
   mergeNotice(notice: CrashNotice): void;
+  list(): readonly {
+    readonly fingerprint: string;
+    readonly untilMs: number;
+    readonly crashes: number;
+  }[];
+  close(): void;
 }
 
 const CRASH_LIMIT = 2;
@@ -72,11 +72,11 @@
  * exempts it for a while, because a harmless request that is sent often is likely to be in flight at
  * other requests' crashes. Memory is bounded: the least recently updated fingerprint is evicted first.
  */
-export function createQuarantine(options: QuarantineOptions): SharedQuarantine {
+export function createQuarantine(options: QuarantineOptions): Quarantine {
   return new CrashQuarantine(options);
 }
 
-class CrashQuarantine implements SharedQuarantine {
+class CrashQuarantine implements Quarantine {
   private readonly suspects = new Map<string, Suspect>();
 
   /** Time of the last success of each fingerprint, in milliseconds; least recent first. */
@@ -88,11 +88,9 @@
     this.clock = options.clock;
   }
 
-  public check(fingerprint: string): Refusal | undefined {
-    const remainingMs = (this.findSuspect(fingerprint)?.quarantinedUntilMs ?? 0) - this.clock();
-    if (remainingMs <= 0) return undefined;
-    const message = `request ${fingerprint} was in flight when upstreams crashed`;
-    return createNotRun(RefusalKind.Quarantined, message, remainingMs);
+  public getRemainingMs(fingerprint: string): number {
+    const untilMs = this.findSuspect(fingerprint)?.quarantinedUntilMs ?? 0;
+    return Math.max(0, untilMs - this.clock());
   }
 
   public recordCrash(fingerprint: string, inFlight: number): void {
@@ -195,22 +193,3 @@
   });
   return crashes;
 }
-
-/** The properties of a request that its fingerprint is computed from. */
-export interface FingerprintInput {
-  readonly service: string;
-  readonly method: string;
-  readonly path: string;
-  /** Idempotency key, when the request has one. */
-  readonly key?: string;
-  /** Body, if it is small enough to be kept in memory; ignored if there is a key. */
-  readonly body?: Uint8Array;
-}
-
-/** Computes the fingerprint of a request: 32 hexadecimal digits of SHA-256. */
-export function computeFingerprint(input: FingerprintInput): string {
-  const hash = createHash('sha256');
-  hash.update(JSON.stringify([input.service, input.method, input.path, input.key ?? null]));
-  if (input.key === undefined && input.body !== undefined) hash.update(input.body);
-  return hash.digest('hex').slice(0, 32);
-}
--- a/packages/traffic/src/CactusdealTrafficExitWatch.ts
+++ b/packages/quarantine/src/CactusdealQuarantineExitWatch.ts
@@ -1,5 +1,5 @@
 import { connect, type Socket } from 'node:net';
-import { probeAddress, toSocketTarget } from './CactusdealTrafficSilentConnection.js';
+import { probeAddress, toSocketTarget } from '@cactusdeal/shared';
 
 /**
  * Finds out whether the process of an upstream ends after it has closed a connection. A process that
--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficQuarantine.test.ts
+++ b/packages/quarantine/src/__tests__/unit/CactusdealQuarantine.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createQuarantine, type SharedQuarantine } from '../../index.js';
+import { createQuarantine, type Quarantine } from '../../index.js';
 
 interface Step {
-  readonly run: (quarantine: SharedQuarantine) => void;
+  readonly run: (quarantine: Quarantine) => void;
   readonly atMs?: number;
 }
 
@@ -124,8 +124,8 @@
       const listed = quarantine.list().map(({ fingerprint }) => fingerprint);
       assert.deepEqual(listed, held);
       ['a', 'b', 'c', 'd'].forEach((fingerprint) => {
-        const kind = quarantine.check(fingerprint)?.kind;
-        assert.equal(kind, held.includes(fingerprint) ? 'Quarantined' : undefined);
+        const isHeld = quarantine.getRemainingMs(fingerprint) > 0;
+        assert.equal(isHeld, held.includes(fingerprint));
       });
       quarantine.close();
     });
--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficExitWatch.test.ts
+++ b/packages/quarantine/src/__tests__/unit/CactusdealQuarantineExitWatch.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
-import { createExitWatch } from '../../CactusdealTrafficExitWatch.js';
+import { createExitWatch } from '../../index.js';
 
 interface Case {
   readonly name: string;
--- a/packages/shared/src/CactusdealSharedAddress.ts
+++ b/packages/shared/src/CactusdealSharedAddress.ts
@@ -10,3 +10,9 @@
   const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
   return { host, port: Number(address.slice(colon + 1)) };
 }
+
+/** Host and port of an address; port 80 if it names none. */
+export function toSocketTarget(address: string): Address {
+  const { hostname, port } = new URL(`http://${address}`);
+  return { host: hostname.replace(/^\[|\]$/g, ''), port: Number(port || '80') };
+}
--- a/packages/traffic/src/CactusdealTrafficGate.ts
+++ b/packages/traffic/src/CactusdealTrafficGate.ts
@@ -1,4 +1,5 @@
-import type { Clock } from '@cactusdeal/shared';
+import { computeFingerprint, type ExitWatch, type Quarantine } from '@cactusdeal/quarantine';
+import { type Clock, probeAddress } from '@cactusdeal/shared';
 import type { AttemptResult } from './CactusdealTrafficAttempt.js';
 import { isBodyTooLarge } from './CactusdealTrafficBody.js';
 import {
@@ -8,11 +9,8 @@
   refuseExpired,
 } from './CactusdealTrafficCall.js';
 import { CallHeader } from './CactusdealTrafficHeaders.js';
-import type { Claims, ClaimTicket, GateQueue, Quarantine } from './CactusdealTrafficPolicyTypes.js';
-import { computeFingerprint } from './CactusdealTrafficQuarantine.js';
+import type { Claims, ClaimTicket, GateQueue } from './CactusdealTrafficPolicyTypes.js';
 import { createNotRun, createRefusal } from './CactusdealTrafficRefusal.js';
-import type { ExitWatch } from './CactusdealTrafficExitWatch.js';
-import { probeAddress } from './CactusdealTrafficSilentConnection.js';
 import {
   CallOutcome,
   type GetSnapshot,
@@ -45,8 +43,9 @@
   const refusal = checkWorker(context, call, workerName);
   if (refusal !== undefined) return { type: 'refused', refusal };
   const fingerprint = await computeCallFingerprint(call);
-  const quarantined = context.quarantine.check(fingerprint);
-  if (quarantined !== undefined) return { type: 'refused', refusal: quarantined };
+  const remainingMs = context.quarantine.getRemainingMs(fingerprint);
+  if (remainingMs > 0)
+    return { type: 'refused', refusal: refuseQuarantined(fingerprint, remainingMs) };
   const admitted = await context.queue.admit({
     className: call.route.route.class,
     rank: call.route.route.rank,
@@ -89,6 +88,13 @@
   return handleFailedAttempt(context, call, worker, fingerprint, ticket, result);
 }
 
+const refuseQuarantined = (fingerprint: string, remainingMs: number): Refusal =>
+  createNotRun(
+    RefusalKind.Quarantined,
+    `request ${fingerprint} was in flight when upstreams crashed`,
+    remainingMs,
+  );
+
 const buildSilentRefusal = (): Refusal =>
   createRefusal(
     RefusalKind.ConnectionSilent,
@@ -184,5 +190,5 @@
 /** Leaves the idempotency key out, as a caller may resend the same request with a new key. */
 async function computeCallFingerprint({ route, method, path, body }: Call): Promise<string> {
   const { service } = route.route;
-  return computeFingerprint({ service, method, path, body: await body.sample() });
+  return computeFingerprint({ target: service, method, path, body: await body.sample() });
 }
--- a/packages/traffic/src/CactusdealTrafficListener.ts
+++ b/packages/traffic/src/CactusdealTrafficListener.ts
@@ -1,14 +1,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { createExitWatch, type Quarantine } from '@cactusdeal/quarantine';
 import type { CompleteSettings } from '@cactusdeal/schema';
 import { type Clock, formatError, getWallTimeMs, type Log, type Random } from '@cactusdeal/shared';
 import { createAttemptLog, createAttemptIds } from './CactusdealTrafficAttemptLog.js';
 import { createBalancer } from './CactusdealTrafficBalancer.js';
 import type { EntryContext } from './CactusdealTrafficEntry.js';
-import { createExitWatch } from './CactusdealTrafficExitWatch.js';
 import { type GateContext, serveAtGate } from './CactusdealTrafficGate.js';
 import type { TrafficMetrics } from './CactusdealTrafficMetrics.js';
-import type { Claims, GateQueue, Quarantine } from './CactusdealTrafficPolicyTypes.js';
+import type { Claims, GateQueue } from './CactusdealTrafficPolicyTypes.js';
 import { createGatePools, createPools } from './CactusdealTrafficConnectionPools.js';
 import { createUpstreamProgress } from './CactusdealTrafficUpstreamProgress.js';
 import { createNotRun } from './CactusdealTrafficRefusal.js';
--- a/packages/traffic/src/CactusdealTrafficPolicyTypes.ts
+++ b/packages/traffic/src/CactusdealTrafficPolicyTypes.ts
@@ -51,22 +51,4 @@
   close(): Promise<void>;
 }
 
-/** Refuses requests that are suspected of crashing upstreams. */
-export interface Quarantine {
-  /** The refusal of a quarantined fingerprint; undefined if it is not quarantined. */
-  check(fingerprint: string): Refusal | undefined;
-  /**
-   * Records a call that was in flight when an upstream crashed: its connection was lost and the
-   * upstream accepts no new ones. `inFlight` is the number of calls that the crash interrupted,
-   * including this one.
-   */
-  recordCrash(fingerprint: string, inFlight: number): void;
-  recordSuccess(fingerprint: string): void;
-  list(): readonly {
-    readonly fingerprint: string;
-    readonly untilMs: number;
-    readonly crashes: number;
-  }[];
-  close(): void;
-}
 export type { Effect };
--- a/packages/traffic/src/CactusdealTrafficSilentConnection.ts
+++ b/packages/traffic/src/CactusdealTrafficSilentConnection.ts
@@ -1,5 +1,5 @@
 import { request as sendRequest } from 'node:http';
-import { connect } from 'node:net';
+import { toSocketTarget } from '@cactusdeal/shared';
 import type { AttemptState } from './CactusdealTrafficAttemptLog.js';
 import { parseAttemptState } from './CactusdealTrafficAttemptLog.js';
 import { CallHeader } from './CactusdealTrafficHeaders.js';
@@ -10,7 +10,7 @@
   stop(): void;
 }
 
-/** Timeout of a query or probe over a new connection, in milliseconds. */
+/** Timeout of a query over a new connection, in milliseconds. */
 const QUERY_TIMEOUT_MS = 1000;
 
 /**
@@ -64,23 +64,3 @@
     query.end();
   });
 }
-
-/** Whether the address accepts new connections. */
-export function probeAddress(address: string): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = connect({ ...toSocketTarget(address), timeout: QUERY_TIMEOUT_MS });
-    const finish = (isReachable: boolean): void => {
-      socket.destroy();
-      resolve(isReachable);
-    };
-    socket.once('connect', () => finish(true));
-    socket.once('timeout', () => finish(false));
-    socket.once('error', () => finish(false));
-  });
-}
-
-/** Host and port of an address; port 80 if it names none. */
-export function toSocketTarget(address: string): { readonly host: string; readonly port: number } {
-  const { hostname, port } = new URL(`http://${address}`);
-  return { host: hostname.replace(/^\[|\]$/g, ''), port: Number(port || '80') };
-}
--- a/packages/traffic/src/CactusdealTrafficWorker.ts
+++ b/packages/traffic/src/CactusdealTrafficWorker.ts
@@ -1,5 +1,5 @@
 import type { CompleteSettings } from '@cactusdeal/schema';
-import type { Clock, Log } from '@cactusdeal/shared';
+import { type Clock, type Log, probeAddress } from '@cactusdeal/shared';
 import {
   type ResponseSink,
   type Attempt,
@@ -11,7 +11,7 @@
 import type { ClaimTicket } from './CactusdealTrafficPolicyTypes.js';
 import type { ConnectionPools } from './CactusdealTrafficConnectionPools.js';
 import type { UpstreamProgress } from './CactusdealTrafficUpstreamProgress.js';
-import { probeAddress, watchSilence } from './CactusdealTrafficSilentConnection.js';
+import { watchSilence } from './CactusdealTrafficSilentConnection.js';
 import type { LocalWorker } from './CactusdealTrafficTypes.js';
 
 /** Dependencies of sending a call to the worker. */
--- a/packages/traffic/src/__tests__/CactusdealTrafficFixtures.ts
+++ b/packages/traffic/src/__tests__/CactusdealTrafficFixtures.ts
@@ -1,3 +1,4 @@
+import type { Quarantine } from '@cactusdeal/quarantine';
 import { createServer, request as sendRequest, type RequestListener, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Route, Snapshot } from '@cactusdeal/schema';
@@ -13,7 +14,6 @@
   type Directory,
   type Gate,
   type LocalWorker,
-  type Quarantine,
   startCallListener,
 } from '../index.js';
 import { createNotRun } from '../CactusdealTrafficRefusal.js';
@@ -77,7 +77,8 @@
   return {
     crashes,
     successes,
-    check: () => undefined,
+    getRemainingMs: () => 0,
+    mergeNotice: () => {},
     recordCrash: (_, inFlight) => crashes.push(inFlight),
     recordSuccess: (fingerprint) => successes.push(fingerprint),
     list: () => [],
--- a/packages/traffic/src/__tests__/unit/CactusdealTrafficFaults.test.ts
+++ b/packages/traffic/src/__tests__/unit/CactusdealTrafficFaults.test.ts
@@ -3,7 +3,6 @@
 import { afterEach, describe, it } from 'node:test';
 import { waitMs } from '@cactusdeal/shared';
 import { waitUntil } from '@cactusdeal/testing';
-import { createNotRun } from '../../CactusdealTrafficRefusal.js';
 import { RefusalKind } from '../../CactusdealTrafficTypes.js';
 import {
   sendCall,
@@ -227,8 +226,8 @@
 
   it('keeps the outcome unknown if an earlier attempt may have run', async () => {
     const { entry, gates, upstreams } = await startPair(closeConnection);
-    const check = () => createNotRun(RefusalKind.Quarantined, 'crashed before');
-    Object.assign(gates[1].quarantine, { check });
+    const getRemainingMs = () => 60_000;
+    Object.assign(gates[1].quarantine, { getRemainingMs });
     const answer = await sendCall(entry.listener.address, LOOKUP);
     assert.equal(answer.headers['cactusdeal-refusal'], RefusalKind.Quarantined);
     assert.equal(answer.headers['cactusdeal-outcome'], 'unknown');
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -5,14 +5,6 @@
   type GateQueueOptions,
   type Schedule,
 } from './CactusdealTrafficGateQueue.js';
-export {
-  computeFingerprint,
-  type CrashNotice,
-  createQuarantine,
-  type FingerprintInput,
-  type QuarantineOptions,
-  type SharedQuarantine,
-} from './CactusdealTrafficQuarantine.js';
 export {
   CallOutcome,
   type Directory,
@@ -42,6 +34,5 @@
   Claims,
   ClaimTicket,
   GateQueue,
-  Quarantine,
   Slot,
 } from './CactusdealTrafficPolicyTypes.js';
