--- a/packages/quarantine/src/CactusdealQuarantineExitWatch.ts
+++ b/packages/quarantine/src/CactusdealQuarantineExitWatch.ts
@@ -7,52 +7,68 @@
  * for a moment.
  */
 export interface ExitWatch {
-  /**
-   * Resolves to true once nothing listens at the address, to false if the process goes on. At most
-   * one connection to the address is held open for this.
-   */
-  hasExited(address: string): Promise<boolean>;
-  /** Ends all watches; they resolve to false. */
+  /** Watches an address; at most one connection to it is held open for this. */
+  watch(address: string): ExitVerdicts;
+  /** Ends all watches; no process counts as ended. */
   close(): void;
 }
 
+/** What a watch finds out, in this order. */
+export interface ExitVerdicts {
+  /** Whether the address accepts a new connection. */
+  readonly isListening: Promise<boolean>;
+  /** Whether nothing listens at the address, now or soon. */
+  readonly hasExited: Promise<boolean>;
+}
+
 /** Longest time from the first closed connection of a process to its end, in milliseconds. */
 const EXIT_MS = 500;
 
 export function createExitWatch(): ExitWatch {
-  const watches = new Map<string, Promise<boolean>>();
+  const watches = new Map<string, ExitVerdicts>();
   const sockets = new Set<Socket>();
   let isClosed = false;
 
-  async function watch(address: string): Promise<boolean> {
-    const hasStayedOpen = await holdConnection(address);
-    return !hasStayedOpen && !isClosed && !(await probeAddress(address));
+  function startWatch(address: string): ExitVerdicts {
+    const { isListening, hasStayedOpen } = holdConnection(address);
+    const hasExited = hasStayedOpen
+      .then(async (isOpen) => !isOpen && !isClosed && !(await probeAddress(address)) && !isClosed)
+      .finally(() => watches.delete(address));
+    return { isListening, hasExited };
   }
 
-  /** Whether a new connection to the address stays open for `EXIT_MS`. */
-  function holdConnection(address: string): Promise<boolean> {
-    return new Promise((resolve) => {
-      const socket = connect(toSocketTarget(address));
-      sockets.add(socket);
+  /** Connects to the address, and holds the connection for `EXIT_MS`. */
+  function holdConnection(address: string): {
+    readonly isListening: Promise<boolean>;
+    readonly hasStayedOpen: Promise<boolean>;
+  } {
+    const socket = connect(toSocketTarget(address));
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.resume();
+    const isListening = new Promise<boolean>((resolve) => {
+      socket.once('connect', () => resolve(true));
+      socket.once('close', () => resolve(false));
+    });
+    const hasStayedOpen = new Promise<boolean>((resolve) => {
       const timer = setTimeout(() => finish(true), EXIT_MS);
-      socket.on('error', () => {});
       socket.once('close', () => finish(false));
-      socket.resume();
 
-      function finish(hasStayedOpen: boolean): void {
+      function finish(isOpen: boolean): void {
         clearTimeout(timer);
         sockets.delete(socket);
-        resolve(hasStayedOpen);
+        resolve(isOpen);
         socket.destroy();
       }
     });
+    return { isListening, hasStayedOpen };
   }
 
   return {
-    hasExited: (address) => {
+    watch: (address) => {
       const running = watches.get(address);
       if (running !== undefined) return running;
-      const started = watch(address).finally(() => watches.delete(address));
+      const started = startWatch(address);
       watches.set(address, started);
       return started;
     },
--- a/packages/quarantine/src/__tests__/unit/CactusdealQuarantineExitWatch.test.ts
+++ b/packages/quarantine/src/__tests__/unit/CactusdealQuarantineExitWatch.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
-import { createExitWatch } from '../../index.js';
+import { createExitWatch } from '../../CactusdealQuarantineExitWatch.js';
 
 interface Case {
   readonly name: string;
@@ -45,7 +45,8 @@
         server.close();
       });
       const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-      const results = await Promise.all([watch.hasExited(address), watch.hasExited(address)]);
+      const verdicts = [watch.watch(address), watch.watch(address)];
+      const results = await Promise.all(verdicts.map((verdict) => verdict.hasExited));
       assert.deepEqual(results, [hasExited, hasExited]);
       assert.ok(connections <= 2, `${connections} connections for two watches and a probe`);
     });
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -3,6 +3,10 @@
   type Quarantine,
   type QuarantineOptions,
 } from './CactusdealQuarantine.js';
-export { createExitWatch, type ExitWatch } from './CactusdealQuarantineExitWatch.js';
+export {
+  type CrashWatch,
+  createCrashWatch,
+  type InterruptedCall,
+} from './CactusdealQuarantineCrashWatch.js';
 export { computeFingerprint, type FingerprintInput } from './CactusdealQuarantineFingerprint.js';
 export { type CrashNotice, parseCrashNotice } from './CactusdealQuarantineNotice.js';
--- a/packages/traffic/src/CactusdealTrafficGate.ts
+++ b/packages/traffic/src/CactusdealTrafficGate.ts
@@ -1,5 +1,5 @@
-import { computeFingerprint, type ExitWatch, type Quarantine } from '@cactusdeal/quarantine';
-import { type Clock, probeAddress } from '@cactusdeal/shared';
+import { computeFingerprint, type CrashWatch, type Quarantine } from '@cactusdeal/quarantine';
+import type { Clock } from '@cactusdeal/shared';
 import type { AttemptResult } from './CactusdealTrafficAttempt.js';
 import { isBodyTooLarge } from './CactusdealTrafficBody.js';
 import {
@@ -27,7 +27,7 @@
   readonly queue: GateQueue;
   readonly claims: Claims;
   readonly quarantine: Quarantine;
-  readonly exitWatch: ExitWatch;
+  readonly crashWatch: CrashWatch;
   /** Wall clock for the deadline of a claim, which other hosts compare with their own. */
   readonly wallClock: Clock;
 }
@@ -162,31 +162,16 @@
   const { inUse } = context.queue.getGauges();
   if (!result.sent) await ticket?.abandon();
   const isUpstreamFault = !call.lifetime.signal.aborted && !isBodyTooLarge(result.cause);
-  if (result.sent && isUpstreamFault) {
-    await recordIfCrashed(context, worker, () => {
-      context.quarantine.recordCrash(fingerprint, inUse);
-      context.log.warn('upstream-crashed', { worker: worker.name, fingerprint, inFlight: inUse });
-    });
+  // A process that ends after its drain is no crash.
+  const isDraining = context.getLocalWorker()?.state === 'draining';
+  if (result.sent && isUpstreamFault && !isDraining) {
+    const { address } = worker;
+    await context.crashWatch.receiveInterrupted({ address, fingerprint, inFlight: inUse });
   }
   if (result.started) return { type: 'cut' };
   return { type: 'refused', refusal: toFailureRefusal(call, result) };
 }
 
-/** Calls `record` if the upstream's process has ended; later, if it still listens and ends soon. */
-async function recordIfCrashed(
-  { exitWatch }: GateContext,
-  { address }: LocalWorker,
-  record: () => void,
-): Promise<void> {
-  if (!(await probeAddress(address))) {
-    record();
-    return;
-  }
-  void exitWatch.hasExited(address).then((hasExited) => {
-    if (hasExited) record();
-  });
-}
-
 /** Leaves the idempotency key out, as a caller may resend the same request with a new key. */
 async function computeCallFingerprint({ route, method, path, body }: Call): Promise<string> {
   const { service } = route.route;
--- a/packages/traffic/src/CactusdealTrafficListener.ts
+++ b/packages/traffic/src/CactusdealTrafficListener.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import { createExitWatch, type Quarantine } from '@cactusdeal/quarantine';
+import { createCrashWatch, type Quarantine } from '@cactusdeal/quarantine';
 import type { CompleteSettings } from '@cactusdeal/schema';
 import { type Clock, formatError, getWallTimeMs, type Log, type Random } from '@cactusdeal/shared';
 import { createAttemptLog, createAttemptIds } from './CactusdealTrafficAttemptLog.js';
@@ -98,7 +98,7 @@
         server.close(resolve);
       });
       server.closeAllConnections();
-      context.gate.exitWatch.close();
+      context.gate.crashWatch.close();
       await Promise.all([closed, context.gate.pools.close(), context.entry.pools.close()]);
     },
   };
@@ -179,10 +179,14 @@
 }
 
 function buildGateContext(options: CallListenerOptions): GateContext {
-  const { wallClock = getWallTimeMs, settings } = options;
+  const { wallClock = getWallTimeMs, settings, quarantine, log } = options;
   const pools = createPools(settings.connectionsPerWorker);
   const progress = createUpstreamProgress();
-  return { ...options, wallClock, pools, progress, exitWatch: createExitWatch() };
+  const crashWatch = createCrashWatch({
+    recordCrash: (fingerprint, inFlight) => quarantine.recordCrash(fingerprint, inFlight),
+    log,
+  });
+  return { ...options, wallClock, pools, progress, crashWatch };
 }
 
 function buildEntryContext(options: CallListenerOptions, gate: GateContext): EntryContext {
