--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -1,16 +1,11 @@
+import { type CrashWatch, createCrashWatch } from '@cactusdeal/quarantine';
 import type { Clock, Log } from '@cactusdeal/shared';
-import {
-  type Admission,
-  type AdmissionRequest,
-  createAdmission,
-} from './CactusdealRelayAdmission.js';
+import { type Admission, createAdmission } from './CactusdealRelayAdmission.js';
+import { isShedAnswer, isUpstreamAnswer, MISDIRECTED_STATUS } from './CactusdealRelayAnswerKind.js';
 import { applyRateLimit } from './CactusdealRelayGateReport.js';
 import { findField } from './CactusdealRelayHeaders.js';
-import {
-  createServiceTimes,
-  computeEstimateCapMs,
-  type ServiceTimes,
-} from './CactusdealRelayServiceTimes.js';
+import { createServiceTimes, type ServiceTimes } from './CactusdealRelayServiceTimes.js';
+import { createTrackedCall, settleCall, type TrackedCall } from './CactusdealRelayTrackedCall.js';
 import {
   type Answer,
   type Attempt,
@@ -28,7 +23,6 @@
 import { hasLeavingSignal, readLimit } from './CactusdealRelayUpstreamSignals.js';
 import {
   createUpstreamPool,
-  type UpstreamCall,
   type UpstreamEnd,
   type UpstreamPool,
 } from './CactusdealRelayUpstream.js';
@@ -74,19 +68,12 @@
   readonly observe: () => void;
   /** Called with each call that is sent to the upstream. */
   readonly recordSent: (isNested: boolean) => void;
+  /** Called for each fingerprint among the calls that a crash of the upstream interrupted. */
+  readonly recordCrash: (fingerprint: string, inFlight: number) => void;
   /** Called with an instance that said in an answer that it is about to stop. */
   readonly receiveLeaving: (upstream: Upstream) => void;
 }
 
-/** A call from its arrival at the gate to its end. */
-interface TrackedCall extends AdmissionRequest {
-  readonly call: GateCall;
-  readonly arrivedAtMs: number;
-  readonly settle: (end: AttemptEnd) => void;
-  state: 'waiting' | 'running' | 'ended';
-  request: UpstreamCall | undefined;
-}
-
 /** How a request to the upstream ended. */
 interface FinishedRequest {
   readonly end: UpstreamEnd;
@@ -97,8 +84,6 @@
 
 /** How long the gate stays closed after a failed connection to its upstream. */
 const UNREACHABLE_HOLD_MS = 300;
-/** Fraction of the remaining time within which the answer to a nested call must be expected. */
-const NESTED_DEADLINE_FRACTION = 0.8;
 /** Weight of a new sample in the moving average of the failure rate. */
 const FAILURE_SMOOTHING_WEIGHT = 0.05;
 /** Time between checks of the queue for late calls, and for calls that a rate limit has held. */
@@ -106,9 +91,6 @@
 /** Retry-after of a call evicted from the queue. */
 const OVERTAKEN_RETRY_MS = 100;
 const MIN_SERVER_ERROR_STATUS = 500;
-/** With the "not run" header field, these statuses mean that the upstream shed the request. */
-const SHED_STATUSES: ReadonlySet<number> = new Set([400, 421, 429, 503]);
-const MISDIRECTED_STATUS = 421;
 
 /** Creates the gate of one upstream. */
 export function createGate(options: GateOptions): Gate {
@@ -124,6 +106,8 @@
 
   private readonly limit: UpstreamLimit;
 
+  private readonly crashWatch: CrashWatch;
+
   private upstream: Upstream | undefined;
 
   private isDraining = false;
@@ -142,6 +126,7 @@
     this.limit = createUpstreamLimit({ clock, log, observe: options.observe });
     this.admission = createAdmission<TrackedCall>(this.serviceTimes, this.limit.rateLimit);
     this.pool = createUpstreamPool({ address, idField: names.callId, clock });
+    this.crashWatch = createCrashWatch({ recordCrash: options.recordCrash, log });
   }
 
   public serve(call: GateCall): Attempt {
@@ -150,19 +135,7 @@
     const end = new Promise<AttemptEnd>((resolve) => {
       settle = resolve;
     });
-    const tracked: TrackedCall = {
-      call,
-      kind: call.kind,
-      priority: call.priority,
-      estimateCapMs: computeEstimateCapMs(call.targetMs),
-      targetAtMs: nowMs + call.targetMs,
-      deadlineAtMs: nowMs + call.remainingMs,
-      latestAnswerAtMs: nowMs + computeAnswerBudgetMs(call),
-      arrivedAtMs: nowMs,
-      settle,
-      state: 'waiting',
-      request: undefined,
-    };
+    const tracked = createTrackedCall(call, nowMs, settle);
     this.admit(tracked, nowMs);
     return { end, cancel: () => this.cancel(tracked) };
   }
@@ -228,13 +201,26 @@
     });
     tracked.state = 'running';
     tracked.request = request;
-    void request.end.then((end) => {
+    void request.end.then(async (end) => {
+      if (end.type === 'broken') await this.receiveInterrupted(tracked, upstream);
       const nestedFailed = id !== undefined && this.nestedFailedById.get(id) === true;
       if (id !== undefined) this.nestedFailedById.delete(id);
       this.finishRequest(tracked, upstream, { end, startedAtMs, nestedFailed });
     });
   }
 
+  /** A process that ends after it has said that it leaves is no crash. */
+  private async receiveInterrupted(
+    { fingerprint, state }: TrackedCall,
+    { id }: Upstream,
+  ): Promise<void> {
+    const isLeaving = this.upstream?.id === id && this.upstream.state !== 'ready';
+    if (state === 'ended' || isLeaving) return;
+    const { address } = this.options;
+    const inFlight = this.admission.getLoad().running;
+    await this.crashWatch.receiveInterrupted({ address, fingerprint, inFlight });
+  }
+
   private buildHeaders(call: GateCall, upstream: Upstream, remainingMs: number): string[] {
     const { names } = this.options;
     const remaining = String(Math.max(1, Math.floor(remainingMs)));
@@ -283,7 +269,8 @@
           ? result.message
           : `status ${result.answer.status} without the header field ${names.signature}`;
       const call = findField(tracked.call.headers, names.callId);
-      log.warn('upstream-broken', { call, upstream: upstream.id, message, serviceMs });
+      const { fingerprint } = tracked;
+      log.warn('upstream-broken', { call, fingerprint, upstream: upstream.id, message, serviceMs });
       return { type: 'unknown', reason: UnknownReason.Broken };
     }
     const { answer } = result;
@@ -432,33 +419,7 @@
   public close(): void {
     clearTimeout(this.sweepTimer);
     this.refuseWaiting();
+    this.crashWatch.close();
     this.pool.close();
   }
 }
-
-function settleCall(trackedCall: TrackedCall, end: AttemptEnd): void {
-  const tracked = trackedCall;
-  if (tracked.state === 'ended') return;
-  tracked.state = 'ended';
-  tracked.settle(end);
-}
-
-/** Time within which the answer must be expected for a call to be admitted, in milliseconds. */
-function computeAnswerBudgetMs({ isNested, remainingMs, targetMs }: GateCall): number {
-  return isNested ? remainingMs * NESTED_DEADLINE_FRACTION : Math.min(targetMs, remainingMs);
-}
-
-/**
- * Whether the upstream itself answered: it signs each success, so one without a signature is from
- * something else.
- */
-function isUpstreamAnswer(answer: Answer, names: HeaderNames): boolean {
-  const isSuccess = answer.status >= 200 && answer.status < 300;
-  return !isSuccess || findField(answer.headers, names.signature) !== undefined;
-}
-
-/** Whether the upstream refused the request without running it. */
-function isShedAnswer({ status, headers }: Answer, names: HeaderNames): boolean {
-  if (status === MISDIRECTED_STATUS) return true;
-  return SHED_STATUSES.has(status) && findField(headers, names.notRun) !== undefined;
-}
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -7,6 +7,8 @@
   recordCall(record: CallRecord): void;
   /** Counts a call that is sent to the upstream on this host. */
   recordSent(isNested: boolean): void;
+  /** Counts a fingerprint among the calls that a crash of the upstream interrupted. */
+  recordInterruption(): void;
   /** Renders the metrics in the text exposition format. */
   render(): Promise<string>;
 }
@@ -46,6 +48,11 @@
     labelNames: ['nested'],
     registers,
   });
+  const interruptions = new Counter({
+    name: 'cactusdeal_crash_interruptions_total',
+    help: 'Different calls that crashes of the upstream interrupted',
+    registers,
+  });
   addGauge(
     'cactusdeal_upstream_limit',
     'Calls per second that the upstream takes as it says, -1 if it names no limit',
@@ -72,6 +79,7 @@
       durations.observe({ kind, outcome }, durationMs / MS_PER_SECOND);
     },
     recordSent: (isNested) => sentCalls.inc({ nested: String(isNested) }),
+    recordInterruption: () => interruptions.inc(),
     render: () => registry.metrics(),
   };
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -123,6 +123,7 @@
     observe: () => listener?.pushReport(),
     receiveLeaving: (upstream) => upstreamTracker.receiveLeaving(upstream),
     recordSent: (isNested) => metrics.recordSent(isNested),
+    recordCrash: () => metrics.recordInterruption(),
   });
   const departures = createDepartures();
   const departureExchange: DepartureExchange = {
