Refuse a call that crashed two upstreams, at every daemon

Cause: the quarantine stood in the daemon's way of a call only; the relay's gate and entry asked nobody whether a call was seen before.

Gate and entry of the relay now ask the shared quarantine. Counts of crashes go over the links to linked daemons; once a request is quarantined, each daemon that learns it passes the counts of all on, so that they cross data centres, and tells them to each daemon that opens a link, so that one that restarts learns them again. A notice carries its age, and the source of a count is another one after each start, so that an earlier count of the same daemon is added and not taken for a lower total (the mesh way too). A call that ended unknown twice is not tried a third time, as in the daemon's way. The gate has no answer of its own to give: it refuses as not run, with the time that the quarantine lasts.

--- a/packages/daemon/src/CactusdealDaemonMesh.ts
+++ b/packages/daemon/src/CactusdealDaemonMesh.ts
@@ -50,9 +50,11 @@
 /** Creates a quarantine that shares its crash counts with the other daemons of the data centre. */
 export function createMeshQuarantine(
   mesh: Pick<Mesh, 'publishNotice' | 'observeNotices'>,
-  source: string,
+  daemonId: string,
   clock: Clock,
 ): Quarantine {
+  // Counts start anew with the process, so that those of an earlier one are another source's.
+  const source = `${daemonId}@${clock()}`;
   const quarantine = createQuarantine({
     clock,
     source,
@@ -64,7 +66,7 @@
   mesh.observeNotices((topic, value) => {
     if (topic !== QUARANTINE_TOPIC) return;
     const notice = parseCrashNotice(value);
-    if (notice !== undefined && notice.source !== source) quarantine.mergeNotice(notice);
+    if (notice !== undefined) quarantine.mergeNotice(notice);
   });
   return quarantine;
 }
--- a/packages/quarantine/src/CactusdealQuarantine.ts
+++ b/packages/quarantine/src/CactusdealQuarantine.ts
@@ -33,8 +33,18 @@
    */
   recordCrash(fingerprint: string, inFlight: number): void;
   recordSuccess(fingerprint: string): void;
-  /** Merges the total that another daemon has counted. Idempotent; lower totals are ignored. */
-  mergeNotice(notice: CrashNotice): void;
+  /**
+   * Merges the total that another daemon has counted; false if it is known. Idempotent; lower totals
+   * are ignored.
+   */
+  mergeNotice(notice: CrashNotice): boolean;
+  /** Whether any crash is remembered. */
+  hasSuspects(): boolean;
+  /**
+   * Lists what another daemon has to be told to refuse the same requests: the counts of all daemons
+   * for this fingerprint, or for all; none of fingerprints that are not quarantined.
+   */
+  listNotices(fingerprint?: string): readonly CrashNotice[];
   list(): readonly {
     readonly fingerprint: string;
     readonly untilMs: number;
@@ -62,6 +72,8 @@
 
 interface Suspect extends CrashCounts {
   readonly lastOwnCrashMs: number;
+  /** Time of the latest crash that any daemon has counted. */
+  readonly lastCrashMs: number;
   readonly quarantinedUntilMs: number;
   readonly expiresAtMs: number;
 }
@@ -105,18 +117,42 @@
       ownCrashes: ownTotal,
       minInFlight,
       lastOwnCrashMs: nowMs,
+      lastCrashMs: nowMs,
     });
     const { source, publish } = this.options;
-    publish({ source, fingerprint, crashes: ownTotal, inFlight: minInFlight });
+    publish({ source, fingerprint, crashes: ownTotal, inFlight: minInFlight, ageMs: 0 });
   }
 
-  public mergeNotice({ source, fingerprint, crashes, inFlight }: CrashNotice): void {
+  public mergeNotice({ source, fingerprint, crashes, inFlight, ageMs }: CrashNotice): boolean {
     const known = this.findSuspect(fingerprint) ?? createSuspect();
-    if (this.hasRecentSuccess(fingerprint) || (known.reportedCrashes.get(source) ?? 0) >= crashes)
-      return;
+    const knownCrashes =
+      source === this.options.source ? Infinity : (known.reportedCrashes.get(source) ?? 0);
+    if (this.hasRecentSuccess(fingerprint) || knownCrashes >= crashes) return false;
     const reportedCrashes = new Map(known.reportedCrashes).set(source, crashes);
     const minInFlight = Math.min(known.minInFlight, inFlight);
-    this.updateSuspect(fingerprint, { ...known, reportedCrashes, minInFlight });
+    const lastCrashMs = Math.max(known.lastCrashMs, this.clock() - ageMs);
+    this.updateSuspect(fingerprint, { ...known, reportedCrashes, minInFlight, lastCrashMs });
+    return true;
+  }
+
+  public hasSuspects(): boolean {
+    return this.suspects.size > 0;
+  }
+
+  public listNotices(fingerprint?: string): readonly CrashNotice[] {
+    const fingerprints = fingerprint === undefined ? [...this.suspects.keys()] : [fingerprint];
+    return fingerprints
+      .filter((each) => this.getRemainingMs(each) > 0)
+      .flatMap((each) => this.buildNotices(each, this.suspects.get(each) as Suspect));
+  }
+
+  private buildNotices(fingerprint: string, suspect: Suspect): CrashNotice[] {
+    const { ownCrashes, reportedCrashes, minInFlight: inFlight, lastCrashMs } = suspect;
+    const ageMs = Math.max(0, Math.round(this.clock() - lastCrashMs));
+    const counts = [[this.options.source, ownCrashes] as const, ...reportedCrashes];
+    return counts
+      .filter(([, crashes]) => crashes > 0)
+      .map(([source, crashes]) => ({ source, fingerprint, crashes, inFlight, ageMs }));
   }
 
   public recordSuccess(fingerprint: string): void {
@@ -124,6 +160,14 @@
     this.successAtMs.delete(fingerprint);
     this.successAtMs.set(fingerprint, this.clock());
     this.evictOldest(this.successAtMs);
+    this.evictExpiredSuccesses();
+  }
+
+  private evictExpiredSuccesses(): void {
+    for (const fingerprint of this.successAtMs.keys()) {
+      if (this.hasRecentSuccess(fingerprint)) return;
+      this.successAtMs.delete(fingerprint);
+    }
   }
 
   private hasRecentSuccess(fingerprint: string): boolean {
@@ -160,10 +204,11 @@
   ): void {
     const { crashLimit = CRASH_LIMIT, suspicionMs = SUSPICION_MS } = this.options;
     const isQuarantined = countCrashes(counts) >= crashLimit;
+    const { lastCrashMs } = counts;
     const quarantinedUntilMs = isQuarantined
-      ? this.clock() + this.computeQuarantineMs(counts.minInFlight)
+      ? lastCrashMs + this.computeQuarantineMs(counts.minInFlight)
       : 0;
-    const expiresAtMs = Math.max(this.clock(), quarantinedUntilMs) + suspicionMs;
+    const expiresAtMs = Math.max(lastCrashMs, quarantinedUntilMs) + suspicionMs;
     this.suspects.delete(fingerprint);
     this.suspects.set(fingerprint, { ...counts, quarantinedUntilMs, expiresAtMs });
     this.evictOldest(this.suspects);
@@ -182,7 +227,8 @@
 }
 
 function createSuspect(): Suspect {
-  const times = { lastOwnCrashMs: -Infinity, quarantinedUntilMs: 0, expiresAtMs: 0 };
+  const crashTimes = { lastOwnCrashMs: -Infinity, lastCrashMs: -Infinity };
+  const times = { ...crashTimes, quarantinedUntilMs: 0, expiresAtMs: 0 };
   return { ownCrashes: 0, reportedCrashes: new Map(), minInFlight: Infinity, ...times };
 }
 
--- a/packages/quarantine/src/CactusdealQuarantineNotice.ts
+++ b/packages/quarantine/src/CactusdealQuarantineNotice.ts
@@ -8,15 +8,24 @@
   readonly crashes: number;
   /** Fewest calls that one of the crashes interrupted. */
   readonly inFlight: number;
+  /** Time since the latest crash, in milliseconds. */
+  readonly ageMs: number;
 }
 
-/** Parses a notice; undefined for anything else. Daemons of an older version do not send `inFlight`. */
+/** Longest source or fingerprint that is accepted, in characters. */
+const MAX_NAME_CHARACTERS = 160;
+
+/** Parses a notice; undefined for anything else. Daemons of older versions send neither `inFlight` nor `ageMs`. */
 export function parseCrashNotice(value: unknown): CrashNotice | undefined {
   if (typeof value !== 'object' || value === null) return undefined;
-  const { source, fingerprint, crashes, inFlight = 1 } = value as Partial<CrashNotice>;
-  if (typeof source !== 'string' || typeof fingerprint !== 'string') return undefined;
-  if (!isCount(crashes) || !isCount(inFlight)) return undefined;
-  return { source, fingerprint, crashes, inFlight };
+  const { source, fingerprint, crashes, inFlight = 1, ageMs = 0 } = value as Partial<CrashNotice>;
+  if (!isName(source) || !isName(fingerprint)) return undefined;
+  if (!isCount(crashes) || !isCount(inFlight) || !isCount(ageMs + 1)) return undefined;
+  return { source, fingerprint, crashes, inFlight, ageMs };
+}
+
+function isName(value: unknown): value is string {
+  return typeof value === 'string' && value.length <= MAX_NAME_CHARACTERS;
 }
 
 function isCount(value: unknown): value is number {
--- a/packages/relay/src/CactusdealRelayFrames.ts
+++ b/packages/relay/src/CactusdealRelayFrames.ts
@@ -17,6 +17,7 @@
   AnswerPiece: 12,
   Departure: 13,
   Limit: 14,
+  Crashes: 15,
 } as const;
 
 /** A message on a link: its kind, then its fields in a fixed order. */
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -1,4 +1,4 @@
-import { type CrashWatch, createCrashWatch } from '@cactusdeal/quarantine';
+import { type CrashWatch, createCrashWatch, type Quarantine } from '@cactusdeal/quarantine';
 import type { Clock, Log } from '@cactusdeal/shared';
 import { type Admission, createAdmission } from './CactusdealRelayAdmission.js';
 import { isShedAnswer, isUpstreamAnswer, MISDIRECTED_STATUS } from './CactusdealRelayAnswerKind.js';
@@ -68,8 +68,9 @@
   readonly observe: () => void;
   /** Called with each call that is sent to the upstream. */
   readonly recordSent: (isNested: boolean) => void;
+  readonly quarantine: Quarantine;
   /** Called for each fingerprint among the calls that a crash of the upstream interrupted. */
-  readonly recordCrash: (fingerprint: string, inFlight: number) => void;
+  readonly recordInterruption: () => void;
   /** Called with an instance that said in an answer that it is about to stop. */
   readonly receiveLeaving: (upstream: Upstream) => void;
 }
@@ -126,7 +127,13 @@
     this.limit = createUpstreamLimit({ clock, log, observe: options.observe });
     this.admission = createAdmission<TrackedCall>(this.serviceTimes, this.limit.rateLimit);
     this.pool = createUpstreamPool({ address, idField: names.callId, clock });
-    this.crashWatch = createCrashWatch({ recordCrash: options.recordCrash, log });
+    this.crashWatch = createCrashWatch({
+      recordCrash: (fingerprint, inFlight) => {
+        options.recordInterruption();
+        options.quarantine.recordCrash(fingerprint, inFlight);
+      },
+      log,
+    });
   }
 
   public serve(call: GateCall): Attempt {
@@ -146,6 +153,7 @@
       this.refuse(tracked, closedReason);
       return;
     }
+    if (this.refuseQuarantined(tracked)) return;
     const decision = this.admission.admit(tracked, nowMs);
     if (decision.type === 'start') {
       this.start(tracked);
@@ -157,6 +165,13 @@
     }
   }
 
+  /** Refuses a call that crashed upstreams; false if it is none. */
+  private refuseQuarantined(tracked: TrackedCall): boolean {
+    const remainingMs = this.options.quarantine.getRemainingMs(tracked.fingerprint);
+    if (remainingMs > 0) this.refuse(tracked, NotRunReason.Quarantined, remainingMs);
+    return remainingMs > 0;
+  }
+
   private refuse(tracked: TrackedCall, reason: NotRunReason, retryAfterMs = 0): void {
     const { log, names, clock } = this.options;
     const { running, waiting: queued } = this.admission.getLoad();
@@ -275,6 +290,7 @@
     }
     const { answer } = result;
     if (isShedAnswer(answer, names)) return this.recordShed(upstream, answer);
+    this.options.quarantine.recordSuccess(tracked.fingerprint);
     this.recordFailure(answer.status >= MIN_SERVER_ERROR_STATUS ? 1 : 0);
     this.serviceTimes.record(tracked.kind, serviceMs);
     const queuedMs = clock() - serviceMs - tracked.arrivedAtMs;
@@ -321,7 +337,8 @@
     for (;;) {
       const next = this.admission.takeNext(nowMs);
       if (next === undefined) return;
-      this.start(next);
+      if (this.refuseQuarantined(next)) this.admission.release();
+      else this.start(next);
     }
   }
 
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server, type Socket } from 'node:net';
+import type { CrashNotice } from '@cactusdeal/quarantine';
 import { formatError, type Log, parseAddress } from '@cactusdeal/shared';
 import {
   createMessageReader,
@@ -12,6 +13,7 @@
 import type {
   Attempt,
   AttemptEnd,
+  CrashNoticeExchange,
   DepartureExchange,
   GateCall,
   GateReport,
@@ -20,10 +22,12 @@
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
   parseCall,
+  parseCrashes,
   parseDeparture,
   parseHello,
   parseLimit,
   type Status,
+  toCrashesMessage,
   toDepartureMessage,
   toEndMessage,
   toHelloMessage,
@@ -40,6 +44,8 @@
   pushStatus(audience: StatusAudience): void;
   /** Tells all linked daemons that the upstream on this host is leaving or has left. */
   pushDeparture(): void;
+  /** Tells all linked daemons of calls that crashed upstreams. */
+  pushCrashes(notices: readonly CrashNotice[]): void;
   /** Counts the calls of other daemons that have not ended. */
   countCalls(): number;
   close(): Promise<void>;
@@ -48,7 +54,7 @@
 export const StatusAudience = { DataCentre: 'data-centre', All: 'all' } as const;
 export type StatusAudience = (typeof StatusAudience)[keyof typeof StatusAudience];
 
-export interface LinkListenerOptions extends DepartureExchange {
+export interface LinkListenerOptions extends DepartureExchange, CrashNoticeExchange {
   readonly self: Member;
   readonly gate: Gate;
   readonly getStatus: () => Status;
@@ -106,6 +112,7 @@
     pushReport: () => pushReport(() => true),
     pushStatus,
     pushDeparture: () => links.forEach((link) => writeDeparture(options, link, options.self.id)),
+    pushCrashes: (notices) => links.forEach((link) => writeCrashes(link, notices)),
     countCalls: () => [...links].reduce((sum, link) => sum + link.activeCalls.size, 0),
     close: () => {
       timers.forEach(clearInterval);
@@ -189,6 +196,7 @@
       write(link, toReportMessage(options.gate.getReport()));
       writeDeparture(options, link, options.self.id);
       writeDeparture(options, link, member.id);
+      writeCrashes(link, options.listCrashNotices());
       options.receiveMember(member);
       break;
     }
@@ -206,6 +214,9 @@
       options.receiveDeparture(memberId, upstream);
       break;
     }
+    case MessageKind.Crashes:
+      options.receiveCrashNotices(parseCrashes(message));
+      break;
     case MessageKind.Limit:
       options.gate.restoreLimit(parseLimit(message));
       break;
@@ -228,6 +239,10 @@
   if (upstream !== undefined) write(link, toDepartureMessage(memberId, upstream));
 }
 
+function writeCrashes(link: AcceptedLink, notices: readonly CrashNotice[]): void {
+  if (notices.length > 0) write(link, toCrashesMessage(notices));
+}
+
 /**
  * Holds a call until all data that has arrived is read. After a delay of the link or a pause of this
  * daemon, calls arrive together with their cancellations, and such calls must not reach the upstream.
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -3,7 +3,12 @@
 import { chooseLinks, LinkState } from './CactusdealRelayLinkPlan.js';
 import { createPeer, type Peer, SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import { MAX_REMOVED_MEMBERS } from './CactusdealRelayPorts.js';
-import type { DepartureExchange, LimitExchange, Member } from './CactusdealRelayTypes.js';
+import type {
+  CrashNoticeExchange,
+  DepartureExchange,
+  LimitExchange,
+  Member,
+} from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import type { Status } from './CactusdealRelayWire.js';
 
@@ -43,7 +48,7 @@
   readonly estimateCapMs: number;
 }
 
-export interface MembersOptions extends DepartureExchange, LimitExchange {
+export interface MembersOptions extends DepartureExchange, LimitExchange, CrashNoticeExchange {
   readonly self: Member;
   readonly getStatus: () => Status;
   readonly receiveStatus: (peer: Peer, status: Status) => void;
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -24,6 +24,8 @@
    * none or reading fails.
    */
   getPlatformAgeMs(): number;
+  /** Counts the fingerprints whose calls are refused because they crashed upstreams. */
+  countQuarantined(): number;
   countLinks(): number;
   countLostLines(): number;
 }
@@ -72,6 +74,11 @@
     'Time since the last successful read from the platform, -1 if none or failing',
     sources.getPlatformAgeMs,
   );
+  addGauge(
+    'cactusdeal_quarantined_calls',
+    'Different calls that are refused because they crashed upstreams',
+    sources.countQuarantined,
+  );
   addGauge('cactusdeal_links', 'Open links to other daemons', sources.countLinks);
   addGauge('cactusdeal_log_lines_lost', 'Log lines that were dropped', sources.countLostLines);
   return {
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -1,3 +1,4 @@
+import type { CrashNotice } from '@cactusdeal/quarantine';
 import type { Clock, Log } from '@cactusdeal/shared';
 import type { GateView, Refusal } from './CactusdealRelayBalancer.js';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
@@ -7,6 +8,7 @@
   type Attempt,
   type AttemptEnd,
   buildNotRun,
+  type CrashNoticeExchange,
   type DepartureExchange,
   type GateCall,
   type GateReport,
@@ -17,6 +19,7 @@
 } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
+  parseCrashes,
   parseDeparture,
   parseEnd,
   parseHello,
@@ -26,6 +29,7 @@
   parseUpdate,
   type Status,
   toCallMessage,
+  toCrashesMessage,
   toDepartureMessage,
   toHelloMessage,
   toLimitMessage,
@@ -62,6 +66,8 @@
    * whole one.
    */
   requestConfiguration(version: number): void;
+  /** Tells the daemon of calls that crashed upstreams. */
+  tellCrashes(notices: readonly CrashNotice[]): void;
   /**
    * Gives up the idempotent calls of a silent link, and closes it once no call waits on it; called
    * every `SILENCE_CHECK_MS`.
@@ -70,7 +76,7 @@
   close(): void;
 }
 
-export interface PeerOptions extends DepartureExchange, LimitExchange {
+export interface PeerOptions extends DepartureExchange, LimitExchange, CrashNoticeExchange {
   readonly member: Member;
   readonly self: Member;
   readonly getStatus: () => Status;
@@ -212,6 +218,7 @@
     if (departure !== undefined) this.link.write(toDepartureMessage(member.id, departure));
     const limit = getLimit(member.id);
     if (limit !== undefined) this.link.write(toLimitMessage(limit));
+    this.tellCrashes(this.options.listCrashNotices());
   }
 
   private endLink(): void {
@@ -277,6 +284,9 @@
         this.options.receiveDeparture(memberId, upstream);
         break;
       }
+      case MessageKind.Crashes:
+        this.options.receiveCrashNotices(parseCrashes(message));
+        break;
       case MessageKind.Configuration:
         this.options.receiveUpdate(this, parseUpdate(message));
         break;
@@ -377,6 +387,10 @@
     this.link.write([MessageKind.ConfigurationRequest, version]);
   }
 
+  public tellCrashes(notices: readonly CrashNotice[]): void {
+    if (notices.length > 0) this.link.write(toCrashesMessage(notices));
+  }
+
   public close(): void {
     this.link.close();
   }
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -1,5 +1,7 @@
+import type { Quarantine } from '@cactusdeal/quarantine';
 import type { Clock, Log, LogFields, Random } from '@cactusdeal/shared';
 import { type Choice, chooseGate, type GateView } from './CactusdealRelayBalancer.js';
+import { computeCallFingerprint } from './CactusdealRelayFingerprint.js';
 import type { Gate } from './CactusdealRelayGate.js';
 import type { GateQuery, Members } from './CactusdealRelayMembers.js';
 import type { RetryBudget } from './CactusdealRelayRetryBudget.js';
@@ -53,6 +55,7 @@
   readonly gate: Gate;
   readonly members: Members;
   readonly retryBudget: RetryBudget;
+  readonly quarantine: Quarantine;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -68,6 +71,8 @@
 const BUSY_RETRY_MS = 60;
 /** How long a closed or unreachable gate gets no further calls. */
 const AVOIDANCE_MS = 150;
+/** Attempts of one call that may end without an answer and still be retried. */
+const MAX_UNKNOWN_ENDS = 1;
 const MIN_SERVER_ERROR_STATUS = 500;
 const TIMEOUT_STATUS = 504;
 
@@ -90,6 +95,8 @@
 
   private upstreamAttempts = 0;
 
+  private unknownEnds = 0;
+
   private busyGateCount = 0;
 
   /** The caller gets this result if no further attempt is made. */
@@ -113,6 +120,9 @@
       if (this.isCancelled) return this.lastEnd ?? buildNotRunEnd(NotRunReason.Cancelled);
       if (nowMs >= this.routed.deadlineAtMs)
         return this.lastEnd ?? buildNotRunEnd(NotRunReason.Expired);
+      const quarantineMs = this.computeQuarantineMs();
+      if (quarantineMs > 0)
+        return this.lastEnd ?? buildNotRunEnd(NotRunReason.Quarantined, quarantineMs);
       const choice = this.choose(nowMs);
       if (choice.type !== 'gate') return this.lastEnd ?? buildNoGateEnd(choice);
       const gateView = choice.gate;
@@ -122,6 +132,13 @@
     }
   }
 
+  /** How long the call is refused because it crashed upstreams, in milliseconds; 0 if it is not. */
+  private computeQuarantineMs(): number {
+    const { quarantine } = this.options;
+    if (!quarantine.hasSuspects()) return 0;
+    return quarantine.getRemainingMs(computeCallFingerprint(this.routed.call));
+  }
+
   private choose(nowMs: number): Choice {
     const { members, random } = this.options;
     const { service, kind, priority } = this.routed.call;
@@ -197,6 +214,8 @@
   private shouldRetryUnknown(end: AttemptEnd & { type: 'unknown' }): boolean {
     if (this.lastEnd?.type !== 'answered') this.lastEnd = { type: 'unknown', reason: end.reason };
     if (end.reason === UnknownReason.Cancelled) return false;
+    this.unknownEnds += 1;
+    if (this.unknownEnds > MAX_UNKNOWN_ENDS) return false;
     return this.routed.call.idempotent && this.tryRetry(true);
   }
 
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -1,3 +1,5 @@
+import type { CrashNotice } from '@cactusdeal/quarantine';
+
 /** A service that a route sends calls to, with its share of them. */
 export interface RouteDestination {
   readonly service: string;
@@ -84,6 +86,13 @@
   readonly receiveDeparture: (memberId: string, upstream: Upstream) => void;
 }
 
+/** Exchange of what is known of calls that crash upstreams, with each linked daemon. */
+export interface CrashNoticeExchange {
+  /** What a daemon is told when a link opens. */
+  readonly listCrashNotices: () => readonly CrashNotice[];
+  readonly receiveCrashNotices: (notices: readonly CrashNotice[]) => void;
+}
+
 /** A heartbeat sent by an upstream. */
 export interface Heartbeat extends Upstream {
   /** `IP:PORT` on which it accepts calls. */
@@ -159,6 +168,8 @@
   Busy: 'busy',
   /** Evicted from the queue, because more urgent or unexpectedly slow calls delayed it too long. */
   Overtaken: 'overtaken',
+  /** Calls like it were running when upstreams crashed. */
+  Quarantined: 'quarantined',
   /** The upstream refused it without running it. */
   Shed: 'shed',
   /** The gate or the upstream could not be connected to. */
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,3 +1,4 @@
+import { type CrashNotice, parseCrashNotice } from '@cactusdeal/quarantine';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
 import type {
   AttemptEnd,
@@ -187,6 +188,16 @@
   };
 }
 
+/** Encodes what is known of calls that crashed upstreams. */
+export function toCrashesMessage(notices: readonly CrashNotice[]): Message {
+  return [MessageKind.Crashes, ...notices];
+}
+
+/** Decodes notices of crashes; leaves out what is none. */
+export function parseCrashes([, ...notices]: Message): readonly CrashNotice[] {
+  return notices.map(parseCrashNotice).filter((notice) => notice !== undefined);
+}
+
 /** Encodes an update; base version 0 marks a whole one. */
 export function toUpdateMessage(update: VersionUpdate): Message {
   return [
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -1,3 +1,4 @@
+import type { Quarantine } from '@cactusdeal/quarantine';
 import {
   type Clock,
   createLog,
@@ -12,6 +13,7 @@
   type Configurations,
   VersionOrigin,
 } from './CactusdealRelayConfigurations.js';
+import { createCrashExchange } from './CactusdealRelayCrashExchange.js';
 import { type Entry, startEntry } from './CactusdealRelayEntry.js';
 import { createGate, type Gate } from './CactusdealRelayGate.js';
 import { createKnownLimits } from './CactusdealRelayKnownLimits.js';
@@ -27,6 +29,7 @@
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
 import { createRouter } from './CactusdealRelayRouter.js';
 import type {
+  CrashNoticeExchange,
   DepartureExchange,
   HeaderNames,
   Member,
@@ -102,6 +105,7 @@
   readonly configurations: Configurations;
   readonly registration: Registration;
   readonly upstreamTracker: UpstreamTracker;
+  readonly quarantine: Quarantine;
   readonly log: Log;
 }
 
@@ -114,6 +118,20 @@
   const startedAtMs = clock();
   let isStopping = false;
 
+  const crashExchange = createCrashExchange({
+    source: `${self.id}@${getWallTimeMs()}`,
+    clock,
+    log,
+    send: (notices) => {
+      listener?.pushCrashes(notices);
+      members.list().forEach((peer) => peer.tellCrashes(notices));
+    },
+  });
+  const { quarantine } = crashExchange;
+  const crashNoticeExchange: CrashNoticeExchange = {
+    listCrashNotices: () => quarantine.listNotices(),
+    receiveCrashNotices: (notices) => crashExchange.receive(notices),
+  };
   const gate = createGate({
     address: options.upstreamAddress,
     service: self.service,
@@ -123,7 +141,8 @@
     observe: () => listener?.pushReport(),
     receiveLeaving: (upstream) => upstreamTracker.receiveLeaving(upstream),
     recordSent: (isNested) => metrics.recordSent(isNested),
-    recordCrash: () => metrics.recordInterruption(),
+    quarantine,
+    recordInterruption: () => metrics.recordInterruption(),
   });
   const departures = createDepartures();
   const departureExchange: DepartureExchange = {
@@ -161,6 +180,7 @@
   const members = createMembers({
     self,
     ...departureExchange,
+    ...crashNoticeExchange,
     ...createKnownLimits(),
     getStatus,
     receiveStatus: (peer, status) => configurations.receiveStatus(peer, status),
@@ -169,7 +189,16 @@
     log,
   });
   const retryBudget = createRetryBudget({ ...DEFAULT_RETRY_BUDGET, ...options.retryBudget, clock });
-  const router = createRouter({ self, gate, members, retryBudget, clock, random, log });
+  const router = createRouter({
+    self,
+    gate,
+    members,
+    retryBudget,
+    quarantine,
+    clock,
+    random,
+    log,
+  });
   const registration = createRegistration({ self, registry, clock, random, log });
   let listener: LinkListener | undefined;
   let entry: Entry | undefined;
@@ -178,12 +207,14 @@
     getLimit: () => gate.getLimit()?.callsPerSecond,
     getVersion: () => getStatus().version,
     getPlatformAgeMs: () => getStatus().platformAgeMs,
+    countQuarantined: () => quarantine.list().length,
     countLinks: () => members.countConnected(),
     countLostLines: options.countLostLines,
   });
   listener = await startLinkListener({
     self,
     ...departureExchange,
+    ...crashNoticeExchange,
     gate,
     getStatus,
     buildUpdate: (version) => configurations.buildUpdate(version),
@@ -215,6 +246,7 @@
     configurations,
     registration,
     upstreamTracker,
+    quarantine,
     log,
   };
   return {
@@ -237,8 +269,7 @@
  * running calls end.
  */
 async function stopRelay(relayParts: RelayParts, graceMs: number, clock: Clock): Promise<void> {
-  const { gate, entry, listener, members, configurations, registration, upstreamTracker, log } =
-    relayParts;
+  const { gate, entry, listener, members, configurations, registration, log } = relayParts;
   const stopStartedAtMs = clock();
   log.info('stopping', { calls: entry.countCalls(), served: listener.countCalls() });
   const endAtMs = stopStartedAtMs + graceMs * StopPhase.End;
@@ -265,7 +296,8 @@
   log.info('stopped', { calls: entry.countCalls(), served: listener.countCalls() });
   entry.close();
   members.close();
-  upstreamTracker.close();
+  relayParts.upstreamTracker.close();
   gate.close();
+  relayParts.quarantine.close();
   await listener.close();
 }
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -1,5 +1,16 @@
 import type { GateView } from '../CactusdealRelayBalancer.js';
-import type { RelayConfiguration, RouteRule, Upstream } from '../CactusdealRelayTypes.js';
+import type {
+  CrashNoticeExchange,
+  RelayConfiguration,
+  RouteRule,
+  Upstream,
+} from '../CactusdealRelayTypes.js';
+
+/** An exchange without crashes. */
+export const NO_CRASHES: CrashNoticeExchange = {
+  listCrashNotices: () => [],
+  receiveCrashNotices: () => {},
+};
 
 export function buildRule(changes: Partial<RouteRule> = {}): RouteRule {
   return {
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -241,9 +241,10 @@
     published.slice(after).map((_, index) => String(after + index));
   return {
     read: () => Promise.resolve(Right({ sources: list(0), revision: published.length })),
-    watch: async (revision, limitMs) => {
+    watch: async (revision, limitMs, signal) => {
       const endMs = performance.now() + limitMs;
-      while (published.length <= revision && performance.now() < endMs) await waitMs(POLL_MS);
+      const isWaiting = (): boolean => published.length <= revision && !signal.aborted;
+      while (isWaiting() && performance.now() < endMs) await waitMs(POLL_MS);
       return Right({ sources: list(revision), revision: published.length });
     },
     decode: (text) => {
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -12,7 +12,7 @@
 import { startLinkListener } from '../../CactusdealRelayLinkListener.js';
 import { buildNotRun, type GateCall, NotRunReason } from '../../CactusdealRelayTypes.js';
 import { toCallMessage } from '../../CactusdealRelayWire.js';
-import { buildGateView } from '../CactusdealRelayFixtures.js';
+import { buildGateView, NO_CRASHES } from '../CactusdealRelayFixtures.js';
 import { findAddress, waitUntil } from '../CactusdealRelayTestCluster.js';
 
 const PING: Message = [MessageKind.Ping];
@@ -73,6 +73,7 @@
         buildUpdate: () => undefined,
         getDeparture: () => undefined,
         receiveDeparture: () => {},
+        ...NO_CRASHES,
         receiveMember: () => {},
         log: createSilentLog(),
       });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
@@ -3,6 +3,7 @@
 import { createSilentLog } from '@cactusdeal/shared';
 import { createMembers } from '../../CactusdealRelayMembers.js';
 import type { Member } from '../../CactusdealRelayTypes.js';
+import { NO_CRASHES } from '../CactusdealRelayFixtures.js';
 
 // Nothing listens on these addresses.
 const build = (id: string, port = 1): Member => ({
@@ -63,6 +64,7 @@
         getLimit: () => undefined,
         recordLimit: () => {},
         receiveDeparture: () => {},
+        ...NO_CRASHES,
         clock: () => nowMs,
         log: createSilentLog(),
       });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -12,6 +12,7 @@
 import type { AttemptEnd, GateCall, Member } from '../../CactusdealRelayTypes.js';
 import { toEndMessage, toHelloMessage, toReportMessage } from '../../CactusdealRelayWire.js';
 import { findAddress, waitUntil } from '../CactusdealRelayTestCluster.js';
+import { NO_CRASHES } from '../CactusdealRelayFixtures.js';
 
 const self: Member = { id: 'd1', dataCentre: 'west', service: 'desk', address: '127.0.0.1:1' };
 const status = { version: 1, platformAgeMs: -1 };
@@ -68,6 +69,7 @@
     getLimit: () => undefined,
     recordLimit: () => {},
     receiveDeparture: () => {},
+    ...NO_CRASHES,
     receiveStatus: () => {},
     receiveUpdate: () => {},
     clock: getMonotonicMs,
