--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,5 +1,6 @@
 import { type CrashNotice, parseCrashNotice } from '@cactusdeal/quarantine';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
+import { parseMember } from './CactusdealRelayMemberRecord.js';
 import type {
   AttemptEnd,
   GateCall,
@@ -135,15 +136,15 @@
   return [MessageKind.Hello, id, dataCentre, address, version, platformAgeMs, service];
 }
 
+/** @throws RangeError if the message names no daemon that can be linked to. */
 export function parseHello(message: Message): { member: Member; status: Status } {
+  const [, id, dataCentre, address, version, platformAgeMs, service] = message;
+  const member = parseMember({ id, dataCentre, address, service });
+  if (member === undefined)
+    throw new RangeError(`hello of no valid daemon: id ${String(id)}, address ${String(address)}`);
   return {
-    member: {
-      id: message[1] as string,
-      dataCentre: message[2] as string,
-      address: message[3] as string,
-      service: message[6] as string,
-    },
-    status: { version: message[4] as number, platformAgeMs: message[5] as number },
+    member,
+    status: { version: version as number, platformAgeMs: platformAgeMs as number },
   };
 }
 
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -60,6 +60,8 @@
   /** The running daemon. */
   relay: Relay;
   readonly entryAddress: string;
+  /** Address of the daemon's link listener. */
+  readonly linkAddress: string;
   readonly id: string;
   /** Requests that reached the upstream. */
   readonly requests: IncomingMessage[];
@@ -185,6 +187,7 @@
   const host: TestHost = {
     relay: await start(),
     entryAddress,
+    linkAddress,
     id,
     requests,
     isClosed: false,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,4 +1,5 @@
 export { findField } from './CactusdealRelayHeaders.js';
+export { parseMember } from './CactusdealRelayMemberRecord.js';
 export {
   type ConfigurationReading,
   type ConfigurationSource,
--- a/packages/shared/src/CactusdealSharedAddress.ts
+++ b/packages/shared/src/CactusdealSharedAddress.ts
@@ -1,3 +1,5 @@
+import { isIP } from 'node:net';
+
 /** A host and a port to connect to or to listen on. */
 export interface Address {
   readonly host: string;
@@ -16,3 +18,12 @@
   const { hostname, port } = new URL(`http://${address}`);
   return { host: hostname.replace(/^\[|\]$/g, ''), port: Number(port || '80') };
 }
+
+const MAX_PORT = 65_535;
+
+/** Whether the value is `IP:PORT` with a port that can be connected to. */
+export function isSocketAddress(value: unknown): value is string {
+  if (typeof value !== 'string' || !/:\d{1,5}$/.test(value)) return false;
+  const { host, port } = parseAddress(value);
+  return isIP(host) !== 0 && port > 0 && port <= MAX_PORT;
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,9 @@
-export { type Address, parseAddress, toSocketTarget } from './CactusdealSharedAddress.js';
+export {
+  type Address,
+  isSocketAddress,
+  parseAddress,
+  toSocketTarget,
+} from './CactusdealSharedAddress.js';
 export { type Channel, createChannel } from './CactusdealSharedChannel.js';
 export { type Failure, FailureError, formatError } from './CactusdealSharedFailure.js';
 export { InvariantError, invariant } from './CactusdealSharedInvariant.js';
@@ -11,6 +16,7 @@
   startLogging,
 } from './CactusdealSharedLog.js';
 export { createLogWriter, type LogWriter } from './CactusdealSharedLogWriter.js';
+export { type JsonFailure, MAX_JSON_DEPTH, parseJson } from './CactusdealSharedJson.js';
 export { probeAddress } from './CactusdealSharedProbe.js';
 export { createSeededRandom, pickRandom, type Random } from './CactusdealSharedRandom.js';
 export { type Clock, getMonotonicMs, getWallTimeMs, waitMs } from './CactusdealSharedTime.js';
