Give odd entries a typed failure in the daemon's own readers

The same class in the other way: dialling an address with an odd port threw a RangeError that the loops of the mesh do not expect; a deeply nested roster entry threw while its fault was formatted, so that the other entries were lost with it; an upstream could announce itself at port 70000, and each call to it failed. openSocket refuses such an address as PeerUnreachable; the operator's and the admin listener's readers use the shared parser; the schema names the ports that exist; a value too deep to be shown no longer throws.

--- a/packages/daemon/src/CactusdealDaemonHttp.ts
+++ b/packages/daemon/src/CactusdealDaemonHttp.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { type Failure, formatError, type Log } from '@cactusdeal/shared';
+import { type Failure, formatError, type Log, parseAddress, parseJson } from '@cactusdeal/shared';
 
 /** Response of a handler; `body` is sent as JSON unless `contentType` is given. */
 export interface HttpResponse {
@@ -54,13 +54,6 @@
   };
 }
 
-/** Splits `IP:port` or `[IPv6]:port`; the address is expected to be valid. */
-export function parseAddress(address: string): { readonly host: string; readonly port: number } {
-  const at = address.lastIndexOf(':');
-  const host = address.slice(0, at).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(at + 1)) };
-}
-
 async function listenOn(server: Server, address: string): Promise<string> {
   const { host, port } = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
@@ -154,11 +147,10 @@
     chunks.push(chunk);
   }
   if (receivedBytes === 0) return { value: undefined };
-  try {
-    return { value: JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown };
-  } catch (caught) {
-    return { failure: { kind: 'BodyMalformed', message: formatError(caught) } };
-  }
+  const parsed = parseJson(Buffer.concat(chunks).toString('utf8'));
+  if (parsed.isRight()) return { value: parsed.unsafeCoerce() };
+  const { message } = parsed.swap().unsafeCoerce();
+  return { failure: { kind: 'BodyMalformed', message } };
 }
 
 function sendResponse(serverResponse: ServerResponse, response: HttpResponse): void {
--- a/packages/mesh/src/CactusdealMeshConnection.ts
+++ b/packages/mesh/src/CactusdealMeshConnection.ts
@@ -1,6 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import type { HelloMessage } from '@cactusdeal/schema';
-import { FailureError, formatError, parseAddress } from '@cactusdeal/shared';
+import { FailureError, formatError, isSocketAddress, parseAddress } from '@cactusdeal/shared';
 import { createMeshFailure, type MeshFailure, MeshFailureKind } from './CactusdealMeshFailure.js';
 import { encodeFrame, readFrames } from './CactusdealMeshFrame.js';
 import { type MeshMessage, parseMessage } from './CactusdealMeshMessages.js';
@@ -102,7 +102,11 @@
  *
  * @throws FailureError of kind PeerUnreachable.
  */
-export function openSocket(address: string, timeoutMs: number): Promise<Socket> {
+export async function openSocket(address: string, timeoutMs: number): Promise<Socket> {
+  if (!isSocketAddress(address)) {
+    const message = `cannot connect to ${address}: not an IP address with a port`;
+    throw new FailureError(createMeshFailure(MeshFailureKind.Unreachable, message));
+  }
   const { host, port } = parseAddress(address);
   return new Promise((resolve, reject) => {
     const socket = connect({ host, port });
--- a/packages/operator/src/CactusdealOperatorCodec.ts
+++ b/packages/operator/src/CactusdealOperatorCodec.ts
@@ -1,5 +1,5 @@
 import { createValidator, type LogEntry, type Plan } from '@cactusdeal/schema';
-import { type Failure, formatError } from '@cactusdeal/shared';
+import { type Failure, formatError, parseJson as parseJsonText } from '@cactusdeal/shared';
 import { type Either, Left, Right } from 'purify-ts';
 
 /** Why a stored value cannot be decoded, or does not belong to its key. */
@@ -32,8 +32,14 @@
 
 /** Parses JSON in UTF-8 without validating it against a schema. */
 export function parseJson(bytes: Uint8Array): Either<ParseFailure, unknown> {
+  return decodeText(bytes).chain((text) =>
+    parseJsonText(text).mapLeft(({ message }) => ({ kind: 'ValueMalformed', message })),
+  );
+}
+
+function decodeText(bytes: Uint8Array): Either<ParseFailure, string> {
   try {
-    return Right(JSON.parse(new TextDecoder('utf-8', { fatal: true }).decode(bytes)));
+    return Right(new TextDecoder('utf-8', { fatal: true }).decode(bytes));
   } catch (caught) {
     return Left({ kind: 'ValueMalformed', message: `not valid JSON: ${formatError(caught)}` });
   }
--- a/packages/schema/src/CactusdealSchemaMessages.generated.ts
+++ b/packages/schema/src/CactusdealSchemaMessages.generated.ts
@@ -584,7 +584,7 @@
         "address": {
           "description": "IP address and port of the upstream.",
           "type": "string",
-          "pattern": "^(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+\\]):\\d{1,5}$"
+          "pattern": "^(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+\\]):([1-9]\\d{0,3}|[1-5]\\d{4}|6[0-4]\\d{3}|65[0-4]\\d{2}|655[0-2]\\d|6553[0-5])$"
         },
         "services": {
           "type": "array",
--- a/packages/schema/src/CactusdealSchemaValidator.ts
+++ b/packages/schema/src/CactusdealSchemaValidator.ts
@@ -115,10 +115,19 @@
 }
 
 function formatFound(data: unknown): string {
-  const text = JSON.stringify(data) ?? 'undefined';
+  const text = formatJson(data);
   return text.length > MAX_FOUND_LENGTH ? `${text.slice(0, MAX_FOUND_LENGTH)}…` : text;
 }
 
+function formatJson(data: unknown): string {
+  try {
+    return JSON.stringify(data) ?? 'undefined';
+  } catch {
+    // What another daemon sends may be nested so deeply that it exceeds the stack.
+    return `${typeof data} that cannot be shown`;
+  }
+}
+
 function formatAllowed(error: ErrorObject): string {
   if (error.keyword === 'enum') return `one of ${JSON.stringify(error.schema)}`;
   if (error.keyword === 'const') return JSON.stringify(error.schema);
