Count calls as new in a drain by when they are sent

The known red of the drain at 150 calls per second: one call reached the upstream 1 ms after the heartbeat that drains it. Traced: the check counted arrivals, and a call that was written before is on its way. The check now compares what the gate has sent before and after the heartbeat, which catches a call that the gate starts too late however fast it arrives; with the gate's check of the state taken out, both cases fail.

--- a/packages/relay/src/bench/CactusdealRelayBenchDrain.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchDrain.ts
@@ -13,12 +13,12 @@
   readonly calls: number;
   /** Calls that did not end with status 200. */
   readonly cutOff: number;
-  /** Requests that reached the draining upstream after its heartbeat that said so was handled. */
+  /** Calls that were sent to the draining upstream after its heartbeat that said so was handled. */
   readonly newCalls: number;
-  /**
-   * Time from that heartbeat to the last of these requests, in milliseconds; 0 if there was none.
-   */
-  readonly lastNewCallMs: number;
+  /** Calls that were sent to it before and arrived after that heartbeat. */
+  readonly onTheirWay: number;
+  /** Time from that heartbeat to the last arrival, in milliseconds; 0 if there was none. */
+  readonly lastArrivalMs: number;
   /** Calls that the upstream was running when it started to drain. */
   readonly running: number;
 }
@@ -76,20 +76,29 @@
   const runningAtDrain = running;
   leaving.sendHeartbeat({ state: 'draining', capacity: CAPACITY });
   const acknowledgedAtMs = getMonotonicMs();
+  const sentBefore = await countSent(leaving);
   await sendCallsFor(phaseMs);
   const succeeded = await Promise.all(results);
+  const newCalls = (await countSent(leaving)) - sentBefore;
   await cluster.close();
   const lateArrivals = arrivals.filter((atMs) => atMs > acknowledgedAtMs);
   return {
     calls: succeeded.length,
     cutOff: succeeded.filter((isServed) => !isServed).length,
-    newCalls: lateArrivals.length,
-    lastNewCallMs:
+    newCalls,
+    onTheirWay: lateArrivals.length - newCalls,
+    lastArrivalMs:
       lateArrivals.length === 0 ? 0 : Math.round(Math.max(...lateArrivals) - acknowledgedAtMs),
     running: runningAtDrain,
   };
 }
 
+/** Counts the calls that the host's gate has sent to its upstream. */
+async function countSent({ relay }: TestHost): Promise<number> {
+  const text = await relay.metrics.render();
+  return Number(/cactusdeal_upstream_calls_total\{nested="false"\} (\d+)/.exec(text)?.[1] ?? 0);
+}
+
 async function sendOne(desk: TestHost, id: string): Promise<boolean> {
   try {
     return (await sendCall(desk, { id, remainingMs: 5_000 })).status === 200;
