--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,5 @@
 // Bundles the relay, the program that runs on the users' platform, into one file under target/ so that it starts fast.
-import { readdirSync } from 'node:fs';
+import { readdirSync, renameSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const packages = readdirSync('packages');
@@ -47,9 +47,13 @@
   return `module.exports = new Proxy({}, { get: (_, name) => require(${JSON.stringify(path)})[name] });`;
 }
 
+const OUTPUT = 'target/cactusdeal-relay.cjs';
+// Tests that run at the same time build and start the program; the rename keeps them from starting half of it.
+const partialOutput = `${OUTPUT}.${process.pid}`;
+
 await build({
   entryPoints: ['platform/src/CactusdealAdapterMain.ts'],
-  outfile: 'target/cactusdeal-relay.cjs',
+  outfile: partialOutput,
   bundle: true,
   platform: 'node',
   format: 'cjs',
@@ -65,3 +69,4 @@
   legalComments: 'none',
   logLevel: 'warning',
 });
+renameSync(partialOutput, OUTPUT);
