Show that counts of crashes meet: any two daemons have a common neighbour

On the test's fleet of 192 daemons in six data centres, in the size and form of the large site, each pair is linked or has a daemon that both are linked with, so that the counts of two crashes are added at once.

--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkPlan.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkPlan.test.ts
@@ -106,3 +106,22 @@
     assert.ok(Math.max(...remoteCounts) < 60, remoteCounts.join());
   });
 });
+
+describe('the links of the fleet', () => {
+  it('lead from each daemon to each other one over one daemon at most', () => {
+    const linkedIds = new Map<string, Set<string>>(fleet.map(({ id }) => [id, new Set()]));
+    fleet.forEach((member) => {
+      choose(member).forEach((id) => {
+        linkedIds.get(member.id)?.add(id);
+        linkedIds.get(id)?.add(member.id);
+      });
+    });
+    const isNear = (from: string, to: string): boolean => {
+      const linked = linkedIds.get(from) as Set<string>;
+      return from === to || linked.has(to) || [...linked].some((id) => linkedIds.get(id)?.has(to));
+    };
+    const ids = [...linkedIds.keys()];
+    const far = ids.flatMap((from) => ids.filter((to) => !isNear(from, to)));
+    assert.equal(far.length, 0);
+  });
+});
