Leave the counts of a daemon's earlier start out of the daemon's quarantine again

After the cell in which a request crashes each upstream, an ordinary call through one daemon was not served for 25 s, and for 25 s more in the next cell. Suspected: made each start of a daemon a source of its own in the mesh way too, so that the counts of earlier starts, which the matrix makes many of, are added, and an ordinary read that was in flight at two crashes within ten minutes is quarantined.

--- a/packages/daemon/src/CactusdealDaemonMesh.ts
+++ b/packages/daemon/src/CactusdealDaemonMesh.ts
@@ -50,11 +50,9 @@
 /** Creates a quarantine that shares its crash counts with the other daemons of the data centre. */
 export function createMeshQuarantine(
   mesh: Pick<Mesh, 'publishNotice' | 'observeNotices'>,
-  daemonId: string,
+  source: string,
   clock: Clock,
 ): Quarantine {
-  // Counts start anew with the process, so that those of an earlier one are another source's.
-  const source = `${daemonId}@${clock()}`;
   const quarantine = createQuarantine({
     clock,
     source,
