Make the cases of the review stricter, and quote each limit

Case 1 counts only requests on kept connections; the workers of cases 2 and 3 answer 421 to requests for another instance; records name what was sent; a script that is ended ends its processes; ports lie below those of outgoing connections. Before the ports were changed one of the runs side by side couldn't run (exit 2, a port was taken).

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -108,14 +108,14 @@
 
   const sendOdd = async (id) => {
     record.add(`${id} is sent; its worker answers without end`);
-    const { status, error } = await send({
+    await send({
       port: first.entryPort,
       path: '/registry/study',
       method: 'POST',
       headers: buildHeaders(id, DEADLINE_MS),
       body: 'study',
+      record,
     });
-    record.add(`${id} ended: status ${status}, ${error}`);
   };
   const lost = [];
   let isOver = false;
@@ -123,17 +123,17 @@
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     for (let count = 0; !isOver; count += 1) {
       const id = `c${caller}-${count}`;
-      const { status, error } = await send({
+      const { status, isReused } = await send({
         port: first.entryPort,
         path: '/evidence/file',
         method: 'POST',
         headers: buildHeaders(id, DEADLINE_MS),
         body: 'evidence',
         agent,
+        record,
       });
-      const isLost = status === 0 && count > 0 && ranAtSound.has(id);
+      const isLost = status === 0 && isReused && ranAtSound.has(id);
       if (isLost) lost.push(id);
-      record.add(`${id} ended: status ${status}${error === undefined ? '' : `, ${error}`}`);
       if (status !== 200) await wait(500);
     }
     agent.destroy();
@@ -147,6 +147,8 @@
   isOver = true;
   await Promise.all(callers);
   record.add(`crashes of sidecar-1: ${crashes}`);
-  record.add(`run by the sound worker, connection closed without an answer: ${lost.join(' ')}`);
+  record.add(
+    `run by the sound worker, kept connection closed without an answer, ${lost.length}: ${lost.join(' ')}`,
+  );
   return lost.length > MAX_LOST;
 });
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -27,12 +27,12 @@
 const STABLE_WINDOW_MS = 3_000;
 /** BUDGET is broken by more than this number of further runs. */
 const MAX_LATE_RUNS = 3;
-const SERVICES = ['quejas', 'quejas', 'quejas', 'registro', 'registro'];
+const SERVICES = ['pedidos', 'pedidos', 'pedidos', 'registro', 'registro'];
 /** The caller whose request crashes workers. */
 const ODD_CALLER = 'registro';
-const ODD_PATH = '/quejas/complaint';
+const ODD_PATH = '/pedidos/order';
 /** Without trouble, the other caller sends another path. */
-const OTHER_PATH = hasTrouble ? ODD_PATH : '/quejas/other';
+const OTHER_PATH = hasTrouble ? ODD_PATH : '/pedidos/other';
 
 /** A worker whose process can crash. */
 async function startCrashingWorker({ machine, record, observeRun, observeCrash }) {
@@ -73,12 +73,16 @@
     const { url, headers } = request;
     const id = headers['x-request-id'];
     const ownLife = life;
+    if (headers['x-expected-instance'] !== `i-${machine.id}-${life}`) {
+      response.writeHead(421, { 'X-Request-Id': id, 'X-Not-Executed': '1' }).end();
+      return;
+    }
     const isOdd = url === ODD_PATH && headers['x-caller-service'] === ODD_CALLER;
     observeRun(id, isOdd);
     await wait(isOdd ? CRASH_AFTER_MS : WORK_MS);
     if (ownLife !== life || response.destroyed) return;
     if (isOdd) crash(id);
-    else answerWell(request, response, 'logged');
+    else answerWell(request, response, 'approved');
   }
 
   async function startLife() {
@@ -115,7 +119,7 @@
   const kind = 'non_idempotent';
   store.writeConfiguration(
     buildConfiguration('r1', [
-      { service: 'quejas', kind, timeoutMs: DEADLINE_MS },
+      { service: 'pedidos', kind, timeoutMs: DEADLINE_MS },
       { service: 'registro', kind, timeoutMs: DEADLINE_MS },
     ]),
   );
@@ -137,9 +141,9 @@
       record,
       observeRun: (id, isOdd) => {
         begun.add(id);
+        record.add(`${id} begins to run at ${machine.id}`);
         if (!isOdd) return;
         oddRuns.push(performance.now());
-        record.add(`${id} begins to run at ${machine.id}`);
       },
       observeCrash: (machineId, id) => {
         crashes.push(performance.now());
@@ -156,7 +160,8 @@
       path,
       method: 'POST',
       headers: buildHeaders(id, DEADLINE_MS),
-      body: 'lamp 7 is out',
+      body: 'order of lamp 7',
+      record,
     });
   const callers = machines.filter(({ service }) => service === ODD_CALLER);
   const others = machines.filter(({ service }) => service !== ODD_CALLER);
@@ -173,9 +178,7 @@
   await wait(1_000);
   for (let oddCount = 1; oddCount <= ODD_REQUESTS; oddCount += 1) {
     const id = `odd-${oddCount}`;
-    sendFrom(callers[oddCount % callers.length], id, ODD_PATH).then(({ status }) =>
-      record.add(`${id} ended: status ${status}`),
-    );
+    sendFrom(callers[oddCount % callers.length], id, ODD_PATH);
     await wait(ODD_INTERVAL_MS);
   }
   clearInterval(timer);
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -18,46 +18,42 @@
 /** Exit codes of a script. */
 export const Exit = { Held: 0, Broken: 1, NotRun: 2 };
 
+/** Every process that the script has started. */
+const children = new Set();
+process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+['SIGINT', 'SIGTERM'].forEach((name) => process.on(name, () => process.exit(Exit.NotRun)));
+
 export { wait, IP, HOST_NAME, HEARTBEAT_MS };
 
 /** Whether the script plays its disruption; `TROUBLE=0` leaves it out. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
-/** Finds free ports by binding them all at once. */
-export async function findFreePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createTcpServer();
-      await new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(0, IP, resolve);
-      });
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map(closeServer));
-  return ports;
-}
+/** Below the range from which the system takes the ports of outgoing connections. */
+const MIN_PORT = 12_000;
+const MAX_PORT = 30_000;
 
-function closeServer(server) {
+function isFree(port) {
   return new Promise((resolve) => {
-    server.close(resolve);
+    const server = createTcpServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, IP, () => {
+      server.close(() => resolve(true));
+    });
   });
 }
 
-/** Finds two free ports in a row: one for links, the next for metrics. */
-async function findPortPair() {
+const takenPorts = new Set();
+
+/** Finds `count` free ports in a row. */
+async function findPortsInRow(count) {
   for (;;) {
-    const [port] = await findFreePorts(1);
-    const isFree = await new Promise((resolve) => {
-      const server = createTcpServer();
-      server.once('error', () => resolve(false));
-      server.listen(port + 1, IP, () => {
-        server.close(() => resolve(true));
-      });
-    });
-    if (isFree) return [port, port + 1];
+    const first = MIN_PORT + Math.floor(Math.random() * (MAX_PORT - MIN_PORT));
+    const ports = Array.from({ length: count }, (_, index) => first + index);
+    if (ports.some((port) => takenPorts.has(port))) continue;
+    const checks = await Promise.all(ports.map(isFree));
+    if (!checks.every(Boolean)) continue;
+    ports.forEach((port) => takenPorts.add(port));
+    return ports;
   }
 }
 
@@ -85,7 +81,7 @@
   const changes = [];
   let revision = 1;
   let isClosed = false;
-  const [port] = await findFreePorts(1);
+  const [port] = await findPortsInRow(1);
 
   function change(key, item) {
     if (item === undefined) items.delete(key);
@@ -201,8 +197,9 @@
 
 /** Prepares one machine: the addresses, the settings file and the daemon's process. */
 export async function createMachine({ id, service, zone = 'ovd-centro', store, folder, record }) {
-  const [entry, readiness, admin, app] = await findFreePorts(4);
-  const ports = await findPortPair();
+  const [entry, readiness, admin, app] = await findPortsInRow(4);
+  // One for links, the next for metrics.
+  const ports = await findPortsInRow(2);
   const path = join(folder, `${id}.toml`);
   const fields = {
     node: id,
@@ -229,8 +226,6 @@
     adminPort: admin,
     appPort: app,
     output: '',
-    /** Exit code and signal of the process that ended last. */
-    lastExit: undefined,
     start: () => {
       const [program, ...words] = readRunLine();
       const command = program === 'node' ? process.execPath : program;
@@ -239,7 +234,8 @@
         env: { PATH: process.env.PATH, HOME: process.env.HOME, CACTUSDEAL_CONFIG: path },
         stdio: ['ignore', 'pipe', 'pipe'],
       });
-      const { pid } = child;
+      const started = child;
+      children.add(started);
       record.add(`${id} starts`);
       [child.stdout, child.stderr].forEach((stream) => {
         stream.on('data', (chunk) => {
@@ -248,7 +244,7 @@
       });
       exited = new Promise((resolve) => {
         child.once('exit', (code, signal) => {
-          machine.lastExit = { pid, code, signal };
+          children.delete(started);
           record.add(`${id} ends, code ${code}, signal ${signal}`);
           resolve();
         });
@@ -282,16 +278,26 @@
   return machine;
 }
 
-/** Sends one request on a new connection, or on one of `agent`; status 0 if no whole answer came. */
-export function send({ port, path, method = 'GET', headers = {}, body, agent = false }) {
+/**
+ * Sends one request on a new connection, or on one of `agent`; status 0 if no whole answer came. With a
+ * record, it says when the request is sent and answered.
+ */
+export function send({ port, path, method = 'GET', headers = {}, body, agent = false, record }) {
+  const id = headers['X-Request-Id'];
+  record?.add(`${id} is sent to port ${port}: ${method} ${path}`);
+  const outgoing = sendRequest({ host: IP, port, path, method, agent, headers });
   return new Promise((resolve) => {
-    const fail = (error) => resolve({ status: 0, headers: {}, body: '', error: error.code });
-    const options = { host: IP, port, path, method, agent, headers };
-    const outgoing = sendRequest(options, (response) => {
+    const finish = (end) => {
+      const error = end.error === undefined ? '' : `, ${end.error}`;
+      record?.add(`${id} ended: status ${end.status}${error}`);
+      resolve({ ...end, isReused: outgoing.reusedSocket });
+    };
+    const fail = (error) => finish({ status: 0, headers: {}, body: '', error: error.code });
+    outgoing.on('response', (response) => {
       response.on('error', fail);
       readAll(response).then(
         (bytes) =>
-          resolve({ status: response.statusCode, headers: response.headers, body: `${bytes}` }),
+          finish({ status: response.statusCode, headers: response.headers, body: `${bytes}` }),
         fail,
       );
     });
