Log pauses of the event loop, and calls that are cut right after they were sent

Cause: no log or metric told a daemon that stood still from a call that waited in a queue. Change: event-loop-paused with its length, the processor time used meanwhile and the calls in flight; call-cut at the gate with the time that the call had waited there; metrics cactusdeal_event_loop_pause_seconds and cactusdeal_cancelled_calls_total by how far a call had come. The pause is read by the timer that checks all links, so an idle daemon is woken no more often.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -23,6 +23,7 @@
 import type { CompiledRoute, RouteTable } from './CactusdealRelayRoutes.js';
 import {
   type CallerLimits,
+  CallStage,
   type HeaderNames,
   NotRunReason,
   UnknownReason,
@@ -65,6 +66,7 @@
    */
   readonly recordNestedFailure: (callId: string) => void;
   readonly recordCall: (record: CallRecord) => void;
+  readonly recordCancelled: (stage: CallStage) => void;
 }
 
 /** A call that has ended, for the metrics. */
@@ -209,9 +211,10 @@
   private async serve(received: ReceivedRequest): Promise<void> {
     const { request, response, id, startedAtMs, caller } = received;
     const failure = received.body.swap().toMaybe().extract()?.kind;
-    const { clock, log, getRoutes, recordCall } = this.options;
+    const { clock, log, getRoutes, recordCall, recordCancelled } = this.options;
     if (caller.hasDisconnected || failure === BodyFailureKind.Incomplete) {
-      log.debug('call-abandoned', { call: id });
+      log.debug('call-abandoned', { call: id, waitedMs: Math.round(clock() - startedAtMs) });
+      recordCancelled(CallStage.Entry);
       request.socket.destroy();
       return;
     }
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -16,6 +16,7 @@
   type Attempt,
   type AttemptEnd,
   buildNotRun,
+  CallStage,
   type GateCall,
   type GateReport,
   type HeaderNames,
@@ -77,6 +78,7 @@
   readonly quarantine: Quarantine;
   /** Called for each fingerprint among the calls that a crash of the upstream interrupted. */
   readonly recordInterruption: () => void;
+  readonly recordCancelled: (stage: CallStage) => void;
   /** Called with an instance that said in an answer that it is about to stop. */
   readonly receiveLeaving: (upstream: Upstream) => void;
 }
@@ -97,6 +99,8 @@
 const SWEEP_INTERVAL_MS = 25;
 /** Retry-after of a call evicted from the queue. */
 const OVERTAKEN_RETRY_MS = 100;
+/** A call that is cancelled this soon after it was sent should not have been sent, in milliseconds. */
+const NEEDLESS_RUN_MS = 25;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Creates the gate of one upstream. */
@@ -221,6 +225,7 @@
       id,
     });
     tracked.state = 'running';
+    tracked.sentAtMs = startedAtMs;
     tracked.request = request;
     void request.end.then(async (end) => {
       if (end.type === 'broken') await this.receiveInterrupted(tracked, upstream);
@@ -366,13 +371,30 @@
   private cancel(trackedCall: TrackedCall): void {
     const tracked = trackedCall;
     if (tracked.state === 'waiting' && this.admission.remove(tracked)) {
+      this.options.recordCancelled(CallStage.Queue);
       settleCall(tracked, buildNotRun(NotRunReason.Cancelled));
     } else if (tracked.state === 'running') {
+      this.recordCut(tracked);
       settleCall(tracked, { type: 'unknown', reason: UnknownReason.Cancelled });
       tracked.request?.cancel();
     }
   }
 
+  private recordCut({ call, arrivedAtMs, sentAtMs, deadlineAtMs }: TrackedCall): void {
+    const { log, names, clock, recordCancelled } = this.options;
+    const nowMs = clock();
+    const ranMs = Math.round(nowMs - sentAtMs);
+    recordCancelled(CallStage.Upstream);
+    const writeLine = ranMs <= NEEDLESS_RUN_MS ? log.info : log.debug;
+    writeLine('call-cut', {
+      call: findField(call.headers, names.callId),
+      upstream: this.upstream?.id,
+      waitedMs: Math.round(sentAtMs - arrivedAtMs),
+      ranMs,
+      remainingMs: Math.round(deadlineAtMs - nowMs),
+    });
+  }
+
   public setUpstream(next: Upstream | undefined): void {
     const before = this.upstream;
     this.upstream = next;
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -10,14 +10,15 @@
 import type { Gate } from './CactusdealRelayGate.js';
 import { createDeferredTasks, type DeferredTasks } from './CactusdealRelayDeferredTasks.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
-import type {
-  Attempt,
-  AttemptEnd,
-  CrashNoticeExchange,
-  DepartureExchange,
-  GateCall,
-  GateReport,
-  Member,
+import {
+  type Attempt,
+  type AttemptEnd,
+  CallStage,
+  type CrashNoticeExchange,
+  type DepartureExchange,
+  type GateCall,
+  type GateReport,
+  type Member,
 } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
@@ -66,6 +67,7 @@
   readonly receiveMember: (member: Member) => void;
   /** Room for unfinished messages, shared with all other links. */
   readonly linkBytes: ByteBudget;
+  readonly recordCancelled: (stage: CallStage) => void;
   readonly log: Log;
 }
 
@@ -210,7 +212,7 @@
       holdCall(options, link, message);
       break;
     case MessageKind.Cancel:
-      cancelCall(link, message[1] as number);
+      cancelCall(options, link, message[1] as number);
       break;
     case MessageKind.Ping:
       write(link, [MessageKind.Pong]);
@@ -264,8 +266,11 @@
   calls.forEach(([id, call]) => serveCall(options, link, id, call));
 }
 
-function cancelCall(link: AcceptedLink, id: number): void {
-  if (link.heldCalls.delete(id)) return;
+function cancelCall(options: LinkListenerOptions, link: AcceptedLink, id: number): void {
+  if (link.heldCalls.delete(id)) {
+    options.recordCancelled(CallStage.Link);
+    return;
+  }
   link.activeCalls.get(id)?.cancel();
   link.writer.discard(id);
 }
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -53,6 +53,8 @@
   readonly getStatus: () => Status;
   readonly receiveStatus: (peer: Peer, status: Status) => void;
   readonly receiveUpdate: (peer: Peer, update: VersionUpdate) => void;
+  /** Called every `SILENCE_CHECK_MS`, by the timer that checks the links. */
+  readonly checkPause: () => void;
   readonly clock: Clock;
   /** Room for unfinished messages and answers of all links. */
   readonly linkBytes: ByteBudget;
@@ -75,7 +77,7 @@
   const peers = new Map<string, Peer>();
   // One timer for all links, so that the process is not woken once for each.
   const timers = [
-    setInterval(() => peers.forEach((peer) => peer.checkSilence()), SILENCE_CHECK_MS),
+    setInterval(checkPeers, SILENCE_CHECK_MS),
     setInterval(updateLinks, LINK_CHECK_MS),
   ];
   return {
@@ -104,6 +106,11 @@
     },
   };
 
+  function checkPeers(): void {
+    options.checkPause();
+    peers.forEach((peer) => peer.checkSilence());
+  }
+
   function listLost(durationMs: number): readonly string[] {
     const local = [...peers.values()].filter(isLocalPeer);
     const connected = local.filter((peer) => peer.isConnected());
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -1,6 +1,7 @@
+import { type Pause } from '@cactusdeal/shared';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { CallRecord } from './CactusdealRelayEntry.js';
-import type { GateReport } from './CactusdealRelayTypes.js';
+import type { CallStage, GateReport } from './CactusdealRelayTypes.js';
 
 /** The relay's metrics for Prometheus. */
 export interface RelayMetrics {
@@ -9,6 +10,9 @@
   recordSent(isNested: boolean): void;
   /** Counts a fingerprint among the calls that a crash of the upstream interrupted. */
   recordInterruption(): void;
+  /** Counts a call that was cancelled. */
+  recordCancelled(stage: CallStage): void;
+  recordPause(pause: Pause): void;
   /** Renders the metrics in the text exposition format. */
   render(): Promise<string>;
 }
@@ -55,6 +59,18 @@
     help: 'Different calls that crashes of the upstream interrupted',
     registers,
   });
+  const cancelledCalls = new Counter({
+    name: 'cactusdeal_cancelled_calls_total',
+    help: 'Calls that were no longer wanted, by how far they had come',
+    labelNames: ['stage'],
+    registers,
+  });
+  const pauses = new Histogram({
+    name: 'cactusdeal_event_loop_pause_seconds',
+    help: 'Times of 0.1 s and more in which the daemon handled nothing',
+    buckets: BUCKETS_SECONDS,
+    registers,
+  });
   addGauge(
     'cactusdeal_upstream_limit',
     'Calls per second that the upstream takes as it says, -1 if it names no limit',
@@ -87,6 +103,8 @@
     },
     recordSent: (isNested) => sentCalls.inc({ nested: String(isNested) }),
     recordInterruption: () => interruptions.inc(),
+    recordCancelled: (stage) => cancelledCalls.inc({ stage }),
+    recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     render: () => registry.metrics(),
   };
 
--- a/packages/relay/src/CactusdealRelayTrackedCall.ts
+++ b/packages/relay/src/CactusdealRelayTrackedCall.ts
@@ -10,6 +10,8 @@
   /** Recognises the call when it is sent again. */
   readonly fingerprint: string;
   readonly arrivedAtMs: number;
+  /** When it was sent to the upstream. */
+  sentAtMs: number;
   readonly settle: (end: AttemptEnd) => void;
   state: 'waiting' | 'running' | 'ended';
   request: UpstreamCall | undefined;
@@ -34,6 +36,7 @@
     deadlineAtMs: nowMs + call.remainingMs,
     latestAnswerAtMs: nowMs + computeAnswerBudgetMs(call),
     arrivedAtMs: nowMs,
+    sentAtMs: Infinity,
     settle,
     state: 'waiting',
     request: undefined,
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -223,6 +223,19 @@
     }
   | { readonly type: 'unknown'; readonly reason: UnknownReason };
 
+/** How far a call had come when it was cancelled. */
+export const CallStage = {
+  /** Read by the entry and not routed. */
+  Entry: 'entry',
+  /** Read from a link and not served. */
+  Link: 'link',
+  /** Queued at the gate. */
+  Queue: 'queue',
+  /** Sent to the upstream. */
+  Upstream: 'upstream',
+} as const;
+export type CallStage = (typeof CallStage)[keyof typeof CallStage];
+
 /** An attempt in progress. */
 export interface Attempt {
   readonly end: Promise<AttemptEnd>;
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -3,6 +3,7 @@
   type ChunkPacer,
   type Clock,
   createLog,
+  createPauseWatch,
   getMonotonicMs,
   getWallTimeMs,
   type Log,
@@ -27,6 +28,7 @@
 import { createMembers, type Members } from './CactusdealRelayMembers.js';
 import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
 import type { ConfigurationSource, MemberRegistry } from './CactusdealRelayPorts.js';
+import { SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
 import { createRouter } from './CactusdealRelayRouter.js';
@@ -149,6 +151,7 @@
     recordSent: (isNested) => metrics.recordSent(isNested),
     quarantine,
     recordInterruption: () => metrics.recordInterruption(),
+    recordCancelled: (stage) => metrics.recordCancelled(stage),
   });
   const departures = createDepartures();
   const departureExchange: DepartureExchange = {
@@ -183,6 +186,19 @@
     observePlatform: () => listener?.pushStatus(StatusAudience.DataCentre),
   });
   const getStatus = (): ReturnType<Configurations['getStatus']> => configurations.getStatus();
+  const pauseWatch = createPauseWatch({
+    intervalMs: SILENCE_CHECK_MS,
+    clock,
+    observe: (pause) => {
+      metrics.recordPause(pause);
+      log.info('event-loop-paused', {
+        pausedMs: Math.round(pause.durationMs),
+        busyMs: Math.round(pause.busyMs),
+        calls: entry?.countCalls(),
+        served: listener?.countCalls(),
+      });
+    },
+  });
   const members = createMembers({
     self,
     ...departureExchange,
@@ -191,6 +207,7 @@
     getStatus,
     receiveStatus: (peer, status) => configurations.receiveStatus(peer, status),
     receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
+    checkPause: () => pauseWatch.check(),
     clock,
     linkBytes,
     log,
@@ -228,6 +245,7 @@
     buildUpdate: (version) => configurations.buildUpdate(version),
     receiveMember: (member) => members.add(member),
     linkBytes,
+    recordCancelled: (stage) => metrics.recordCancelled(stage),
     log,
   });
   entry = await startEntry({
@@ -242,6 +260,7 @@
     isRunning: (callId) => gate.isRunning(callId),
     recordNestedFailure: (callId) => gate.recordNestedFailure(callId),
     recordCall: metrics.recordCall,
+    recordCancelled: metrics.recordCancelled,
   });
   const limits = configurations.get()?.limits;
   if (limits !== undefined) entry.setLimits(limits);
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -77,6 +77,7 @@
         ...NO_CRASHES,
         receiveMember: () => {},
         linkBytes: createLinkBudget(),
+        recordCancelled: () => {},
         log: createSilentLog(),
       });
       const received: Message[] = [];
--- a/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
@@ -61,6 +61,7 @@
         getStatus: () => ({ version: 0, platformAgeMs: -1 }),
         receiveStatus: () => {},
         receiveUpdate: () => {},
+        checkPause: () => {},
         getDeparture: () => undefined,
         getLimit: () => undefined,
         recordLimit: () => {},
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -38,6 +38,12 @@
 } from './CactusdealSharedLog.js';
 export { createLogWriter, type LogWriter } from './CactusdealSharedLogWriter.js';
 export { type JsonFailure, MAX_JSON_DEPTH, parseJson } from './CactusdealSharedJson.js';
+export {
+  createPauseWatch,
+  type Pause,
+  type PauseWatch,
+  type PauseWatchOptions,
+} from './CactusdealSharedPauseWatch.js';
 export { probeAddress } from './CactusdealSharedProbe.js';
 export { createSeededRandom, pickRandom, type Random } from './CactusdealSharedRandom.js';
 export { waitForStopSignal } from './CactusdealSharedStopSignal.js';
