Let a whole turn of the event loop pass before each call is led

A call that is read in the second turn joins the batch and is led at the end of the same turn, before the end of its connection can be read, which the runtime reports one turn later. With calls read in turn after turn that is every second one. Change: each task waits for a whole turn of its own; the queue of calls on a link uses the same. It stands in shared now. Also: event-loop-paused is a warning, so that a burst of other lines does not crowd it out.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -6,13 +6,14 @@
   type ChunkPacer,
   type Clock,
   createByteBudget,
+  createDeferredTasks,
+  type DeferredTasks,
   type Log,
   parseAddress,
 } from '@cactusdeal/shared';
 import { type ReadBody, readBody } from './CactusdealRelayBody.js';
 import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
 import { findField, selectEndToEnd } from './CactusdealRelayHeaders.js';
-import { createDeferredTasks, type DeferredTasks } from './CactusdealRelayDeferredTasks.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
 import {
   type CallIdentity,
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -1,6 +1,13 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { CrashNotice } from '@cactusdeal/quarantine';
-import { type ByteBudget, formatError, type Log, parseAddress } from '@cactusdeal/shared';
+import {
+  type ByteBudget,
+  createDeferredTasks,
+  type DeferredTasks,
+  formatError,
+  type Log,
+  parseAddress,
+} from '@cactusdeal/shared';
 import {
   createMessageReader,
   encodeMessage,
@@ -8,7 +15,6 @@
   MessageKind,
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
-import { createDeferredTasks, type DeferredTasks } from './CactusdealRelayDeferredTasks.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
 import {
   type Attempt,
@@ -256,14 +262,16 @@
  * daemon, calls arrive together with their cancellations, and such calls must not reach the upstream.
  */
 function holdCall(options: LinkListenerOptions, link: AcceptedLink, message: Message): void {
-  if (link.heldCalls.size === 0) link.deferredTasks.schedule(() => serveHeldCalls(options, link));
-  link.heldCalls.set(message[1] as number, parseCall(message));
+  const id = message[1] as number;
+  link.heldCalls.set(id, parseCall(message));
+  link.deferredTasks.schedule(() => serveHeldCall(options, link, id));
 }
 
-function serveHeldCalls(options: LinkListenerOptions, link: AcceptedLink): void {
-  const calls = [...link.heldCalls];
-  link.heldCalls.clear();
-  calls.forEach(([id, call]) => serveCall(options, link, id, call));
+function serveHeldCall(options: LinkListenerOptions, link: AcceptedLink, id: number): void {
+  const call = link.heldCalls.get(id);
+  if (call === undefined) return;
+  link.heldCalls.delete(id);
+  serveCall(options, link, id, call);
 }
 
 function cancelCall(options: LinkListenerOptions, link: AcceptedLink, id: number): void {
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -191,7 +191,7 @@
     clock,
     observe: (pause) => {
       metrics.recordPause(pause);
-      log.info('event-loop-paused', {
+      log.warn('event-loop-paused', {
         pausedMs: Math.round(pause.durationMs),
         busyMs: Math.round(pause.busyMs),
         calls: entry?.countCalls(),
--- a/packages/relay/src/CactusdealRelayDeferredTasks.ts
+++ b/packages/shared/src/CactusdealSharedDeferredTasks.ts
@@ -6,20 +6,27 @@
 /**
  * Creates an empty queue. After a pause of this process, requests are read together with the
  * disconnection of their senders, and should not be served. The runtime reports the end of a
- * connection one turn of the event loop after its last data, so tasks run two turns later.
+ * connection one turn of the event loop after its last data, so a whole turn passes between the one
+ * in which a task is scheduled and the one that runs it, whatever other tasks wait.
  */
 export function createDeferredTasks(): DeferredTasks {
-  let tasks: (() => void)[] = [];
+  let scheduled: (() => void)[] = [];
+  let due: (() => void)[] = [];
+  let isRunning = false;
   return {
     schedule: (task) => {
-      if (tasks.length === 0) setImmediate(() => setImmediate(runTasks));
-      tasks.push(task);
+      scheduled.push(task);
+      if (!isRunning) setImmediate(runTurn);
+      isRunning = true;
     },
   };
 
-  function runTasks(): void {
-    const pending = tasks;
-    tasks = [];
-    pending.forEach((task) => task());
+  function runTurn(): void {
+    const tasks = due;
+    due = scheduled;
+    scheduled = [];
+    isRunning = due.length > 0;
+    if (isRunning) setImmediate(runTurn);
+    tasks.forEach((task) => task());
   }
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -26,6 +26,7 @@
   type PausableSource,
   type SourcePace,
 } from './CactusdealSharedChunkPacer.js';
+export { createDeferredTasks, type DeferredTasks } from './CactusdealSharedDeferredTasks.js';
 export { type Failure, FailureError, formatError } from './CactusdealSharedFailure.js';
 export { InvariantError, invariant } from './CactusdealSharedInvariant.js';
 export {
