Read on before a call goes to another gate

Cause: the router sends the next attempt in the turn in which it reads the end of the last one. Change: a whole turn passes before each further attempt; the entry and the router share one queue for that.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -6,7 +6,6 @@
   type ChunkPacer,
   type Clock,
   createByteBudget,
-  createDeferredTasks,
   type DeferredTasks,
   type Log,
   parseAddress,
@@ -56,6 +55,7 @@
   readonly names: HeaderNames;
   readonly getRoutes: () => RouteTable | undefined;
   readonly router: Router;
+  readonly deferredTasks: DeferredTasks;
   readonly clock: Clock;
   readonly pacer: ChunkPacer;
   readonly log: Log;
@@ -115,8 +115,6 @@
 
   private readonly callers: Callers = createCallers();
 
-  private readonly deferredTasks: DeferredTasks = createDeferredTasks();
-
   private readonly responder: Responder;
 
   private readonly unservedCalls: UnservedCalls = createUnservedCalls();
@@ -181,9 +179,7 @@
       const body = await this.readBody(request);
       heldBytes = body.map(countHeldBytes).orDefault(0);
       if (!this.heldBytes.take(heldBytes)) heldBytes = 0;
-      await new Promise<void>((resolve) => {
-        this.deferredTasks.schedule(resolve);
-      });
+      await this.options.deferredTasks.wait();
       const id = findField(request.rawHeaders, this.options.names.callId);
       await this.serve({ request, response, id, body, startedAtMs, caller });
     } finally {
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -1,5 +1,5 @@
 import type { Quarantine } from '@cactusdeal/quarantine';
-import type { Clock, Log, LogFields, Random } from '@cactusdeal/shared';
+import type { Clock, DeferredTasks, Log, LogFields, Random } from '@cactusdeal/shared';
 import { type Choice, chooseGate, type GateView } from './CactusdealRelayBalancer.js';
 import { computeCallFingerprint } from './CactusdealRelayFingerprint.js';
 import type { Gate } from './CactusdealRelayGate.js';
@@ -58,6 +58,7 @@
   readonly members: Members;
   readonly retryBudget: RetryBudget;
   readonly quarantine: Quarantine;
+  readonly deferredTasks: DeferredTasks;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -115,7 +116,7 @@
   }
 
   public async serve(): Promise<RoutedEnd> {
-    const { retryBudget, clock } = this.options;
+    const { retryBudget, deferredTasks, clock } = this.options;
     retryBudget.deposit(this.routed.call.service);
     for (;;) {
       const nowMs = clock();
@@ -131,6 +132,8 @@
       this.tried.add(gateView.memberId);
       const end = await this.attempt(gateView, nowMs);
       if (!this.shouldContinue(gateView, end)) return this.lastEnd as RoutedEnd;
+      // The caller's departure may have arrived together with this end.
+      await deferredTasks.wait();
     }
   }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -2,6 +2,7 @@
 import {
   type ChunkPacer,
   type Clock,
+  createDeferredTasks,
   createLog,
   createPauseWatch,
   getMonotonicMs,
@@ -123,6 +124,7 @@
   const log = createLog({ daemon: self.id });
   const startedAtMs = clock();
   const linkBytes = createLinkBudget();
+  const deferredTasks = createDeferredTasks();
   let isStopping = false;
 
   const crashExchange = createCrashExchange({
@@ -220,6 +222,7 @@
     members,
     retryBudget,
     quarantine,
+    deferredTasks,
     clock,
     random,
     log,
@@ -254,6 +257,7 @@
     names,
     getRoutes: () => configurations.getRoutes(),
     router,
+    deferredTasks,
     clock,
     pacer,
     log,
--- a/packages/shared/src/CactusdealSharedDeferredTasks.ts
+++ b/packages/shared/src/CactusdealSharedDeferredTasks.ts
@@ -1,6 +1,8 @@
 /** Defers tasks until the input that arrived together with them has been read. */
 export interface DeferredTasks {
   schedule(task: () => void): void;
+  /** Resolves when a task that is scheduled now would run. */
+  wait(): Promise<void>;
 }
 
 /**
@@ -14,13 +16,19 @@
   let due: (() => void)[] = [];
   let isRunning = false;
   return {
-    schedule: (task) => {
-      scheduled.push(task);
-      if (!isRunning) setImmediate(runTurn);
-      isRunning = true;
-    },
+    schedule,
+    wait: () =>
+      new Promise((resolve) => {
+        schedule(resolve);
+      }),
   };
 
+  function schedule(task: () => void): void {
+    scheduled.push(task);
+    if (!isRunning) setImmediate(runTurn);
+    isRunning = true;
+  }
+
   function runTurn(): void {
     const tasks = due;
     due = scheduled;
