Subtract the time that a call lay on its link, and confirm a late one

Cause: a link sends the time that is left as the sender saw it. What a call waits in the sender's buffer, on the link or in a gate that stands still is given back to it. And a cancellation that is still on its way cannot stop a call that has arrived. Change: messages name the time of sending by the sender's clock; the fastest message of a link tells how the clocks differ. The time on the way is subtracted from what is left. A call that is over 0.1 s late is held until the entry has answered a ping, which comes behind all cancellations that it had sent; without an answer in 0.25 s it is refused as not run. A sender whose clock stood still looks late, too: the answer corrects that. Ruled out before was comparing the clocks themselves, which differ; their difference is measured here instead. Daemons of the version before send no times and are never asked; they ignore the additional fields.

--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -2,8 +2,7 @@
 import type { CrashNotice } from '@cactusdeal/quarantine';
 import {
   type ByteBudget,
-  createDeferredTasks,
-  type DeferredTasks,
+  type Clock,
   formatError,
   type Log,
   parseAddress,
@@ -15,6 +14,7 @@
   MessageKind,
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
+import { createHeldCalls, type HeldCalls } from './CactusdealRelayHeldCalls.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
 import {
   type Attempt,
@@ -24,15 +24,18 @@
   type DepartureExchange,
   type GateCall,
   type GateReport,
+  type HeaderNames,
   type Member,
 } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
   parseCall,
+  parseCallTime,
   parseCrashes,
   parseDeparture,
   parseHello,
   parseLimit,
+  parsePongTime,
   type Status,
   toCrashesMessage,
   toDepartureMessage,
@@ -74,6 +77,8 @@
   /** Room for unfinished messages, shared with all other links. */
   readonly linkBytes: ByteBudget;
   readonly recordCancelled: (stage: CallStage) => void;
+  readonly names: Pick<HeaderNames, 'callId'>;
+  readonly clock: Clock;
   readonly log: Log;
 }
 
@@ -82,9 +87,7 @@
   readonly socket: Socket;
   readonly writer: LinkWriter;
   readonly activeCalls: Map<number, Attempt>;
-  /** Calls that are not served yet, because a cancellation may have arrived with them. */
-  readonly heldCalls: Map<number, GateCall>;
-  readonly deferredTasks: DeferredTasks;
+  readonly heldCalls: HeldCalls;
   isLocal: boolean;
   /** Load last reported over this link. */
   reportedLoad: number;
@@ -167,12 +170,17 @@
 }
 
 function acceptLink(options: LinkListenerOptions, links: Set<AcceptedLink>, socket: Socket): void {
+  const writer = createLinkWriter(socket);
   const link: AcceptedLink = {
     socket,
-    writer: createLinkWriter(socket),
+    writer,
     activeCalls: new Map(),
-    heldCalls: new Map(),
-    deferredTasks: createDeferredTasks(),
+    heldCalls: createHeldCalls({
+      ...options,
+      serve: (id, call) => serveCall(options, link, id, call),
+      refuse: (id, end) => writeEnd(link, id, end, options.gate.getReport()),
+      confirm: () => writer.write([MessageKind.Ping]),
+    }),
     isLocal: false,
     reportedLoad: 0,
   };
@@ -195,7 +203,7 @@
   socket.on('close', () => {
     reader.close();
     links.delete(link);
-    link.heldCalls.clear();
+    link.heldCalls.close();
     link.activeCalls.forEach((attempt) => attempt.cancel());
   });
 }
@@ -204,9 +212,10 @@
   const link = acceptedLink;
   switch (message[0]) {
     case MessageKind.Hello: {
-      const { member } = parseHello(message);
+      const { member, sentAtMs } = parseHello(message);
+      link.heldCalls.receiveTime(sentAtMs);
       link.isLocal = member.dataCentre === options.self.dataCentre;
-      write(link, toHelloMessage(options.self, options.getStatus()));
+      write(link, toHelloMessage(options.self, options.getStatus(), options.clock()));
       write(link, toReportMessage(options.gate.getReport()));
       writeDeparture(options, link, options.self.id);
       writeDeparture(options, link, member.id);
@@ -215,7 +224,7 @@
       break;
     }
     case MessageKind.Call:
-      holdCall(options, link, message);
+      link.heldCalls.hold(message[1] as number, parseCall(message), parseCallTime(message));
       break;
     case MessageKind.Cancel:
       cancelCall(options, link, message[1] as number);
@@ -223,6 +232,11 @@
     case MessageKind.Ping:
       write(link, [MessageKind.Pong]);
       break;
+    case MessageKind.Pong: {
+      const sentAtMs = parsePongTime(message);
+      if (sentAtMs !== undefined) link.heldCalls.receiveConfirmation(sentAtMs);
+      break;
+    }
     case MessageKind.Departure: {
       const { memberId, upstream } = parseDeparture(message);
       options.receiveDeparture(memberId, upstream);
@@ -257,25 +271,8 @@
   if (notices.length > 0) write(link, toCrashesMessage(notices));
 }
 
-/**
- * Holds a call until all data that has arrived is read. After a delay of the link or a pause of this
- * daemon, calls arrive together with their cancellations, and such calls must not reach the upstream.
- */
-function holdCall(options: LinkListenerOptions, link: AcceptedLink, message: Message): void {
-  const id = message[1] as number;
-  link.heldCalls.set(id, parseCall(message));
-  link.deferredTasks.schedule(() => serveHeldCall(options, link, id));
-}
-
-function serveHeldCall(options: LinkListenerOptions, link: AcceptedLink, id: number): void {
-  const call = link.heldCalls.get(id);
-  if (call === undefined) return;
-  link.heldCalls.delete(id);
-  serveCall(options, link, id, call);
-}
-
 function cancelCall(options: LinkListenerOptions, link: AcceptedLink, id: number): void {
-  if (link.heldCalls.delete(id)) {
+  if (link.heldCalls.cancel(id)) {
     options.recordCancelled(CallStage.Link);
     return;
   }
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -40,6 +40,7 @@
   toDepartureMessage,
   toHelloMessage,
   toLimitMessage,
+  toPongMessage,
 } from './CactusdealRelayWire.js';
 
 /** The outgoing link to another daemon, over which this daemon sends calls to that one's gate. */
@@ -223,8 +224,8 @@
   }
 
   private startLink(): void {
-    const { self, member, getStatus, getDeparture, getLimit } = this.options;
-    this.link.write(toHelloMessage(self, getStatus()));
+    const { self, member, getStatus, getDeparture, getLimit, clock } = this.options;
+    this.link.write(toHelloMessage(self, getStatus(), clock()));
     const departure = getDeparture(member.id);
     if (departure !== undefined) this.link.write(toDepartureMessage(member.id, departure));
     const limit = getLimit(member.id);
@@ -280,6 +281,9 @@
       case MessageKind.AnswerPiece:
         this.receivePiece(message);
         break;
+      case MessageKind.Ping:
+        this.link.write(toPongMessage(this.options.clock()));
+        break;
       case MessageKind.Report:
         this.setReport(parseReport(message));
         break;
@@ -381,7 +385,7 @@
     });
     if (this.pendingCalls.size === 1) this.link.resetSilence();
     this.unreportedCalls += 1;
-    this.link.write(toCallMessage(id, call));
+    this.link.write(toCallMessage(id, call, this.options.clock()));
     return { end, cancel: () => this.cancel(id) };
   }
 
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -76,6 +76,12 @@
 const AVOIDANCE_MS = 150;
 /** Attempts of one call that may end without an answer and still be retried. */
 const MAX_UNKNOWN_ENDS = 1;
+/** Refusals after which the gate gets no further calls for a while, and another one is tried. */
+const UNUSABLE_GATE_REASONS: ReadonlySet<NotRunReason> = new Set([
+  NotRunReason.Closed,
+  NotRunReason.Unreachable,
+  NotRunReason.Unconfirmed,
+]);
 const MIN_SERVER_ERROR_STATUS = 500;
 const TIMEOUT_STATUS = 504;
 
@@ -233,7 +239,7 @@
 
   /** Whether another gate may be tried after one refused the call. */
   private shouldTryAnotherGate(view: GateView, reason: NotRunReason): boolean {
-    if (reason === NotRunReason.Closed || reason === NotRunReason.Unreachable) {
+    if (UNUSABLE_GATE_REASONS.has(reason)) {
       this.options.members.find(view.memberId)?.avoid(AVOIDANCE_MS);
       return true;
     }
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -176,6 +176,8 @@
   Shed: 'shed',
   /** The gate or the upstream could not be connected to. */
   Unreachable: 'unreachable',
+  /** It was late on the link, and the daemon that sent it did not confirm that it is wanted. */
+  Unconfirmed: 'unconfirmed',
   /** The deadline passed before it could start. */
   Expired: 'expired',
   /** Cancelled before it started. */
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -22,11 +22,19 @@
   readonly platformAgeMs: number;
 }
 
+/** The first message of a daemon on a link. */
+export interface Hello {
+  readonly member: Member;
+  readonly status: Status;
+  /** Time of sending by its clock; undefined from a daemon that does not name it. */
+  readonly sentAtMs: number | undefined;
+}
+
 const NO_BODY = null;
 const NO_LIMIT = null;
 
-/** Encodes a call as fields of a message. */
-export function toCallMessage(id: number, call: GateCall): Message {
+/** Encodes a call as fields of a message, with the time of sending by this daemon's clock. */
+export function toCallMessage(id: number, call: GateCall, sentAtMs: number): Message {
   return [
     MessageKind.Call,
     id,
@@ -41,9 +49,29 @@
     call.kind,
     call.idempotent,
     call.isNested,
+    Math.round(sentAtMs),
   ];
 }
 
+/** The time of sending in a call's message; undefined from a daemon that does not name it. */
+export function parseCallTime(message: Message): number | undefined {
+  return parseTime(message[13]);
+}
+
+/** Encodes this daemon's time, the answer to a ping of the daemon that serves its calls. */
+export function toPongMessage(sentAtMs: number): Message {
+  return [MessageKind.Pong, Math.round(sentAtMs)];
+}
+
+/** The time of sending in a pong; undefined from a daemon that does not name it. */
+export function parsePongTime(message: Message): number | undefined {
+  return parseTime(message[1]);
+}
+
+function parseTime(field: unknown): number | undefined {
+  return Number.isFinite(field) ? (field as number) : undefined;
+}
+
 /** Decodes a call from the fields of its message. */
 export function parseCall(message: Message): GateCall {
   const body = message[6] as Uint8Array | null;
@@ -130,21 +158,24 @@
   };
 }
 
-export function toHelloMessage(member: Member, status: Status): Message {
+/** Encodes who this daemon is, with the time of sending by its clock. */
+export function toHelloMessage(member: Member, status: Status, sentAtMs: number): Message {
   const { id, dataCentre, service, address } = member;
   const { version, platformAgeMs } = status;
-  return [MessageKind.Hello, id, dataCentre, address, version, platformAgeMs, service];
+  const time = Math.round(sentAtMs);
+  return [MessageKind.Hello, id, dataCentre, address, version, platformAgeMs, service, time];
 }
 
 /** @throws RangeError if the message names no daemon that can be linked to. */
-export function parseHello(message: Message): { member: Member; status: Status } {
-  const [, id, dataCentre, address, version, platformAgeMs, service] = message;
+export function parseHello(message: Message): Hello {
+  const [, id, dataCentre, address, version, platformAgeMs, service, time] = message;
   const member = parseMember({ id, dataCentre, address, service });
   if (member === undefined)
     throw new RangeError(`hello of no valid daemon: id ${String(id)}, address ${String(address)}`);
   return {
     member,
     status: { version: version as number, platformAgeMs: platformAgeMs as number },
+    sentAtMs: parseTime(time),
   };
 }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -248,6 +248,8 @@
     buildUpdate: (version) => configurations.buildUpdate(version),
     receiveMember: (member) => members.add(member),
     linkBytes,
+    names,
+    clock,
     recordCancelled: (stage) => metrics.recordCancelled(stage),
     log,
   });
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -1,6 +1,7 @@
 import type { GateView } from '../CactusdealRelayBalancer.js';
 import type {
   CrashNoticeExchange,
+  GateCall,
   RelayConfiguration,
   RouteRule,
   Upstream,
@@ -50,6 +51,23 @@
   };
 }
 
+export function buildCall(changes: Partial<GateCall> = {}): GateCall {
+  return {
+    service: 'records',
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: undefined,
+    remainingMs: 1_000,
+    targetMs: 500,
+    priority: 1,
+    kind: 'kind',
+    idempotent: true,
+    isNested: false,
+    ...changes,
+  };
+}
+
 interface GateChanges extends Partial<Omit<GateView, 'report'>> {
   readonly report?: Partial<GateView['report']>;
 }
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
 import { describe, it } from 'node:test';
-import { createSilentLog, parseAddress } from '@cactusdeal/shared';
+import { createSilentLog, getMonotonicMs, parseAddress } from '@cactusdeal/shared';
 import {
   createLinkBudget,
   createMessageReader,
@@ -11,27 +11,13 @@
 } from '../../CactusdealRelayFrames.js';
 import type { Gate } from '../../CactusdealRelayGate.js';
 import { startLinkListener } from '../../CactusdealRelayLinkListener.js';
-import { buildNotRun, type GateCall, NotRunReason } from '../../CactusdealRelayTypes.js';
+import { buildNotRun, NotRunReason } from '../../CactusdealRelayTypes.js';
 import { toCallMessage } from '../../CactusdealRelayWire.js';
-import { buildGateView, NO_CRASHES } from '../CactusdealRelayFixtures.js';
-import { findAddress, waitUntil } from '../CactusdealRelayTestCluster.js';
+import { buildCall, buildGateView, NO_CRASHES } from '../CactusdealRelayFixtures.js';
+import { findAddress, NAMES, waitUntil } from '../CactusdealRelayTestCluster.js';
 
 const PING: Message = [MessageKind.Ping];
 
-const buildCall = (path: string): GateCall => ({
-  service: 'records',
-  method: 'GET',
-  path,
-  headers: [],
-  body: undefined,
-  remainingMs: 1_000,
-  targetMs: 500,
-  priority: 1,
-  kind: 'kind',
-  idempotent: true,
-  isNested: false,
-});
-
 interface Case {
   readonly name: string;
   /** Messages that arrive in one chunk. */
@@ -43,19 +29,19 @@
 const cases: readonly Case[] = [
   {
     name: 'a call',
-    messages: [toCallMessage(1, buildCall('/a'))],
+    messages: [toCallMessage(1, buildCall({ path: '/a' }), 0)],
     served: ['/a'],
   },
   {
     name: 'a call and its cancellation',
-    messages: [toCallMessage(1, buildCall('/a')), [MessageKind.Cancel, 1]],
+    messages: [toCallMessage(1, buildCall({ path: '/a' }), 0), [MessageKind.Cancel, 1]],
     served: [],
   },
   {
     name: 'two calls and the cancellation of one',
     messages: [
-      toCallMessage(1, buildCall('/a')),
-      toCallMessage(2, buildCall('/b')),
+      toCallMessage(1, buildCall({ path: '/a' }), 0),
+      toCallMessage(2, buildCall({ path: '/b' }), 0),
       [MessageKind.Cancel, 1],
     ],
     served: ['/b'],
@@ -78,6 +64,8 @@
         receiveMember: () => {},
         linkBytes: createLinkBudget(),
         recordCancelled: () => {},
+        names: NAMES,
+        clock: getMonotonicMs,
         log: createSilentLog(),
       });
       const received: Message[] = [];
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -55,7 +55,7 @@
     socket.on('error', () => {});
     const { read } = createMessageReader((message) => received.push(message));
     socket.on('data', (chunk: Buffer) => read(chunk));
-    send(toHelloMessage({ ...member, id: greetedId }, status));
+    send(toHelloMessage({ ...member, id: greetedId }, status, 0));
     send(toReportMessage(report));
   });
   const { host, port } = parseAddress(address);
--- a/packages/relay/src/__tests__/unit/CactusdealRelayRouter.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRouter.test.ts
@@ -14,22 +14,12 @@
   NotRunReason,
   UnknownReason,
 } from '../../CactusdealRelayTypes.js';
-import { buildGateView } from '../CactusdealRelayFixtures.js';
+import { buildCall, buildGateView } from '../CactusdealRelayFixtures.js';
 import { NAMES } from '../CactusdealRelayTestCluster.js';
 
 const routedCall: RoutedCall = {
   id: 'c1',
-  call: {
-    service: 'records',
-    method: 'GET',
-    path: '/',
-    headers: [],
-    body: undefined,
-    priority: 1,
-    kind: 'kind',
-    idempotent: true,
-    isNested: false,
-  },
+  call: buildCall(),
   maxAttempts: 3,
   startedAtMs: 0,
   targetAtMs: 500,
