Lead no call of the daemon's own form whose caller has left before it was read

Cause: packages/traffic led a call in the turn in which it was read, and noticed a departure only when the whole connection was closed, not when its caller had closed its side. Change: the end of the caller's side cancels the call; a whole turn passes before a call is led, and before it goes to another gate.

--- a/packages/traffic/src/CactusdealTrafficCaller.ts
+++ b/packages/traffic/src/CactusdealTrafficCaller.ts
@@ -1,6 +1,12 @@
 import { Readable } from 'node:stream';
 import type { CompleteSettings } from '@cactusdeal/schema';
-import { type Clock, createChunkPacer, type Log, type Random } from '@cactusdeal/shared';
+import {
+  type Clock,
+  createChunkPacer,
+  createDeferredTasks,
+  type Log,
+  type Random,
+} from '@cactusdeal/shared';
 import { type Either, Left, Right } from 'purify-ts';
 import type { ResponseSink } from './CactusdealTrafficAttempt.js';
 import { createAttemptIds } from './CactusdealTrafficAttemptLog.js';
@@ -75,6 +81,7 @@
     budget: createRetryBudget(),
     pools: createGatePools(),
     pacer,
+    deferredTasks: createDeferredTasks(),
     serveLocally: undefined,
     memberId: '',
     nextAttemptId: createAttemptIds(),
--- a/packages/traffic/src/CactusdealTrafficEntry.ts
+++ b/packages/traffic/src/CactusdealTrafficEntry.ts
@@ -1,5 +1,5 @@
 import type { CompleteSettings } from '@cactusdeal/schema';
-import type { ChunkPacer, Clock, Log } from '@cactusdeal/shared';
+import type { ChunkPacer, Clock, DeferredTasks, Log } from '@cactusdeal/shared';
 import {
   type ResponseSink,
   type Attempt,
@@ -33,6 +33,7 @@
   readonly settings: Pick<CompleteSettings['calls'], 'idleTimeoutMs'>;
   readonly metrics: TrafficMetrics;
   readonly pacer: ChunkPacer;
+  readonly deferredTasks: DeferredTasks;
   readonly log: Log;
   readonly clock: Clock;
   /** Serves a call at the gate of this process; undefined in a process without a gate. */
@@ -77,6 +78,8 @@
     triedGates.add(choice.gate.memberId);
     const result = await tryGate(context, { ...call, budget }, choice);
     if (result.type !== 'refused') return result;
+    // The caller's departure may have arrived together with this refusal.
+    await context.deferredTasks.wait();
     lastRefusal = mergeOutcome(lastRefusal, result.refusal);
     if (result.refusal.outcome === CallOutcome.Unknown) unknownOutcomes += 1;
     if (lastRefusal.kind === RefusalKind.ConnectionSilent) triedGates.delete(choice.gate.memberId);
--- a/packages/traffic/src/CactusdealTrafficListener.ts
+++ b/packages/traffic/src/CactusdealTrafficListener.ts
@@ -6,6 +6,7 @@
   type ChunkPacer,
   type Clock,
   createChunkPacer,
+  createDeferredTasks,
   formatError,
   getWallTimeMs,
   type Log,
@@ -185,7 +186,9 @@
   const pacer = createChunkPacer();
   const gate = buildGateContext(options, pacer);
   const entry = buildEntryContext(options, gate);
-  return { ...options, pacer, gate, entry, attempts: createAttemptLog(options.clock) };
+  const { deferredTasks } = entry;
+  const attempts = createAttemptLog(options.clock);
+  return { ...options, pacer, deferredTasks, gate, entry, attempts };
 }
 
 function buildGateContext(options: CallListenerOptions, pacer: ChunkPacer): GateContext {
@@ -211,6 +214,7 @@
     budget: createRetryBudget(),
     pools: createGatePools(),
     pacer: gate.pacer,
+    deferredTasks: createDeferredTasks(),
     nextAttemptId: createAttemptIds(),
     serveLocally: (call, { worker }) => serveAtGate(gate, call, worker),
   };
--- a/packages/traffic/src/CactusdealTrafficRequests.ts
+++ b/packages/traffic/src/CactusdealTrafficRequests.ts
@@ -1,9 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { type ChunkPacer, createPausableRequest } from '@cactusdeal/shared';
+import { type ChunkPacer, createPausableRequest, type DeferredTasks } from '@cactusdeal/shared';
 import { type Either, Left } from 'purify-ts';
 import { AttemptState, type AttemptLog } from './CactusdealTrafficAttemptLog.js';
 import { type CallBody, readBody } from './CactusdealTrafficBody.js';
-import { type Call, type CallResult, startCallLifetime } from './CactusdealTrafficCall.js';
+import {
+  type Call,
+  type CallLifetime,
+  type CallResult,
+  startCallLifetime,
+} from './CactusdealTrafficCall.js';
 import { type EntryContext, serveAtEntry } from './CactusdealTrafficEntry.js';
 import { type GateContext, serveAtGate } from './CactusdealTrafficGate.js';
 import { CallHeader } from './CactusdealTrafficHeaders.js';
@@ -26,6 +31,7 @@
   readonly attempts: AttemptLog;
   readonly metrics: TrafficMetrics;
   readonly pacer: ChunkPacer;
+  readonly deferredTasks: DeferredTasks;
 }
 
 /**
@@ -107,10 +113,10 @@
   const accepted = head.unsafeCoerce();
   if (request.headers.expect !== undefined) response.writeContinue();
   const lifetime = startCallLifetime(accepted.remainingMs);
-  response.once('close', () => {
-    if (!response.writableFinished) lifetime.cancel();
-  });
+  cancelWhenLeft(lifetime, request, response);
   const body = await readRequestBody(request, accepted.route.route.maxBodyBytes, context.pacer);
+  // The sender's departure may have arrived together with the request.
+  await context.deferredTasks.wait();
   if (body.isLeft()) lifetime.close();
   const sink = createResponseSink(response);
   const depthIncrement = role === 'entry' ? 1 : 0;
@@ -119,6 +125,19 @@
   );
 }
 
+/** Cancels the call when its sender closes the connection, or its side of it, before the response ends. */
+function cancelWhenLeft(
+  lifetime: CallLifetime,
+  { socket }: IncomingMessage,
+  response: ServerResponse,
+): void {
+  socket.once('end', lifetime.cancel);
+  response.once('close', () => {
+    socket.off('end', lifetime.cancel);
+    if (!response.writableFinished) lifetime.cancel();
+  });
+}
+
 /** Names the caller of a call that enters here: the services of the upstream on this host. */
 function formatCaller({ gate }: RequestContext): string {
   return [...(gate.getLocalWorker()?.services ?? [])].sort().join(',');
