Count an end of an upstream for calls that were cancelled while it ran them

Cause: a cancelled call is settled, and receiveInterrupted in the gate returns for it; nothing remembers what an upstream may still be running. Change: the crash watch, the one copy for both ways of a call, remembers cancelled calls until their time is over, and counts the end for them. A connection that is refused starts a watch, too, if cancelled calls may have run.

--- a/packages/quarantine/src/__tests__/unit/CactusdealQuarantineCrashWatch.test.ts
+++ b/packages/quarantine/src/__tests__/unit/CactusdealQuarantineCrashWatch.test.ts
@@ -2,13 +2,15 @@
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
-import { createSilentLog, waitMs } from '@cactusdeal/shared';
+import { createSilentLog, getMonotonicMs, waitMs } from '@cactusdeal/shared';
 import { createCrashWatch } from '../../index.js';
 
 interface Case {
   readonly name: string;
   /** Time from the first interrupted call until the process no longer listens; it goes on if absent. */
   readonly listensForMs?: number;
+  /** Calls that were cancelled before: a fingerprint, and for how long the upstream may run it. */
+  readonly cancelled?: readonly (readonly [fingerprint: string, durationMs: number])[];
   /** Interrupted calls: a fingerprint, and the calls in flight at its end. */
   readonly calls: readonly (readonly [fingerprint: string, inFlight: number])[];
   readonly expected: readonly (readonly [fingerprint: string, inFlight: number])[];
@@ -31,10 +33,36 @@
       ['b', 3],
     ],
   },
+  {
+    name: 'that ran a cancelled call and one whose time was over',
+    listensForMs: 0,
+    cancelled: [
+      ['c', 1_000],
+      ['d', -1],
+    ],
+    calls: [['a', 1]],
+    expected: [
+      ['c', 2],
+      ['a', 2],
+    ],
+  },
+  {
+    name: 'that ran only a cancelled call, and accepts no connection',
+    listensForMs: 0,
+    cancelled: [['c', 1_000]],
+    calls: [],
+    expected: [['c', 1]],
+  },
+  {
+    name: 'that goes on after a cancelled call',
+    cancelled: [['c', 1_000]],
+    calls: [],
+    expected: [],
+  },
 ];
 
 describe('the crash watch of a process', () => {
-  cases.forEach(({ name, listensForMs, calls, expected }) => {
+  cases.forEach(({ name, listensForMs, cancelled = [], calls, expected }) => {
     it(`${name}: records ${expected.length} fingerprints`, async (context) => {
       const sockets = new Set<Socket>();
       const server = createServer((socket) => {
@@ -45,6 +73,7 @@
       const recorded: (readonly [string, number])[] = [];
       const watch = createCrashWatch({
         recordCrash: (fingerprint, inFlight) => recorded.push([fingerprint, inFlight]),
+        clock: getMonotonicMs,
         log: createSilentLog(),
       });
       context.after(() => {
@@ -52,6 +81,11 @@
         void closeProcess(server, sockets);
       });
       if (listensForMs === 0) await closeProcess(server, sockets);
+      cancelled.forEach(([fingerprint, durationMs]) => {
+        const untilMs = getMonotonicMs() + durationMs;
+        watch.receiveCancelled({ address, fingerprint, untilMs });
+      });
+      watch.receiveUnreachable(address);
       const verdicts = calls.map(([fingerprint, inFlight]) =>
         watch.receiveInterrupted({ address, fingerprint, inFlight }),
       );
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -4,6 +4,7 @@
   type QuarantineOptions,
 } from './CactusdealQuarantine.js';
 export {
+  type CancelledCall,
   type CrashWatch,
   createCrashWatch,
   type InterruptedCall,
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -142,6 +142,7 @@
         options.recordInterruption();
         options.quarantine.recordCrash(fingerprint, inFlight);
       },
+      clock,
       log,
     });
   }
@@ -284,6 +285,7 @@
     if (result.type === 'unsent') {
       this.recordFailure(1);
       this.unreachableUntilMs = clock() + UNREACHABLE_HOLD_MS;
+      this.crashWatch.receiveUnreachable(this.options.address);
       log.warn('upstream-unreachable', { upstream: upstream.id, message: result.message });
       this.options.observe();
       return buildNotRun(NotRunReason.Unreachable);
@@ -375,6 +377,8 @@
       settleCall(tracked, buildNotRun(NotRunReason.Cancelled));
     } else if (tracked.state === 'running') {
       this.recordCut(tracked);
+      const { fingerprint, deadlineAtMs: untilMs } = tracked;
+      this.crashWatch.receiveCancelled({ address: this.options.address, fingerprint, untilMs });
       settleCall(tracked, { type: 'unknown', reason: UnknownReason.Cancelled });
       tracked.request?.cancel();
     }
--- a/packages/relay/src/__tests__/unit/CactusdealRelayCrashingCall.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayCrashingCall.test.ts
@@ -47,6 +47,10 @@
   readonly hasAlike?: boolean;
   /** Whether each second upstream that gets the call fails it in place of ending. */
   readonly failsAtTimes?: boolean;
+  /** Time until the upstream that runs it ends, in milliseconds; `RUN_MS` without it. */
+  readonly runMs?: number;
+  /** Time after which its callers leave, in milliseconds; they wait for the answer without it. */
+  readonly leavesAfterMs?: number;
   /** Called between two halves of the calls. */
   readonly change?: (cluster: TestCluster) => Promise<void>;
 }
@@ -73,6 +77,17 @@
     upstreams: 1,
     failsAtTimes: true,
   },
+  {
+    name: 'a write whose callers leave before the end',
+    call: { method: 'POST', body: 'x', path: '/once/' },
+    runMs: 3 * RUN_MS,
+    leavesAfterMs: 2 * RUN_MS,
+  },
+  {
+    name: 'a read whose callers leave before the end',
+    runMs: 3 * RUN_MS,
+    leavesAfterMs: 2 * RUN_MS,
+  },
   {
     name: 'a write, while daemons restart',
     call: { method: 'PUT', body: 'x', path: '/once/' },
@@ -97,9 +112,9 @@
       const harmless = sendHarmless(cluster, otherHost, call);
       await waitUntil(() => harmless.countServed() > 0, 'a harmless call is served');
       const endingHosts = endingHost === undefined ? cluster.hosts : [endingHost];
-      await sendEnding(endingHosts, SPAN_MS / 2, call);
+      await sendEnding(endingHosts, example);
       await change?.(cluster);
-      await sendEnding(endingHosts, SPAN_MS / 2, call);
+      await sendEnding(endingHosts, example);
       const served = await harmless.stop();
       const [, , thirdAtMs = Infinity] = arrivals;
       const late = arrivals.filter((atMs) => atMs > thirdAtMs + KNOWN_AFTER_MS);
@@ -118,7 +133,7 @@
 function serveEnding(
   { hosts }: TestCluster,
   crash: UpstreamCrash,
-  { hasAlike = false, failsAtTimes = false }: Case,
+  { hasAlike = false, failsAtTimes = false, runMs = RUN_MS }: Case,
 ): readonly number[] {
   const arrivals: number[] = [];
   let failures = 0;
@@ -138,7 +153,7 @@
       arrivals.push(getMonotonicMs());
       setTimeout(() => {
         void host.crash(crash);
-      }, RUN_MS);
+      }, runMs);
     };
   });
   return arrivals;
@@ -146,13 +161,19 @@
 
 async function sendEnding(
   hosts: readonly TestHost[],
-  spanMs: number,
-  { path = '/', ...call }: CallOptions = {},
+  { call: { path = '/', ...call } = {}, leavesAfterMs }: Case,
 ): Promise<void> {
-  const endMs = getMonotonicMs() + spanMs;
+  const endMs = getMonotonicMs() + SPAN_MS / 2;
   for (let index = 0; getMonotonicMs() < endMs; index += 1) {
     const entry = hosts[index % hosts.length] as TestHost;
-    const options = { ...call, id: `e${index}`, path: `${path}${ENDING_PATH.slice(1)}` };
+    const leaving =
+      leavesAfterMs === undefined ? {} : { signal: AbortSignal.timeout(leavesAfterMs) };
+    const options = {
+      ...call,
+      ...leaving,
+      id: `e${index}`,
+      path: `${path}${ENDING_PATH.slice(1)}`,
+    };
     void sendCall(entry, options).catch(() => undefined);
     await waitMs(CALL_INTERVAL_MS);
   }
--- a/packages/traffic/src/CactusdealTrafficGate.ts
+++ b/packages/traffic/src/CactusdealTrafficGate.ts
@@ -163,10 +163,13 @@
   const { inUse } = context.queue.getGauges();
   if (!result.sent) await ticket?.abandon();
   const isUpstreamFault = !call.lifetime.signal.aborted && !isBodyTooLarge(result.cause);
+  const { address } = worker;
+  if (result.sent && call.lifetime.signal.aborted)
+    context.crashWatch.receiveCancelled({ address, fingerprint, untilMs: call.deadlineAtMs });
+  if (!result.sent) context.crashWatch.receiveUnreachable(address);
   // A process that ends after its drain is no crash.
   const isDraining = context.getLocalWorker()?.state === 'draining';
   if (result.sent && isUpstreamFault && !isDraining) {
-    const { address } = worker;
     await context.crashWatch.receiveInterrupted({ address, fingerprint, inFlight: inUse });
   }
   if (result.started) return { type: 'cut' };
--- a/packages/traffic/src/CactusdealTrafficListener.ts
+++ b/packages/traffic/src/CactusdealTrafficListener.ts
@@ -197,6 +197,7 @@
   const progress = createUpstreamProgress();
   const crashWatch = createCrashWatch({
     recordCrash: (fingerprint, inFlight) => quarantine.recordCrash(fingerprint, inFlight),
+    clock: options.clock,
     log,
   });
   return { ...options, wallClock, pools, progress, crashWatch, pacer };
