--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -13,7 +13,7 @@
 import type { AttemptEnd, GateCall, Member } from '../../CactusdealRelayTypes.js';
 import { toEndMessage, toHelloMessage, toReportMessage } from '../../CactusdealRelayWire.js';
 import { findAddress, waitUntil } from '../CactusdealRelayTestCluster.js';
-import { NO_CRASHES } from '../CactusdealRelayFixtures.js';
+import { buildCall, NO_CRASHES } from '../CactusdealRelayFixtures.js';
 
 const self: Member = { id: 'd1', dataCentre: 'west', service: 'desk', address: '127.0.0.1:1' };
 const status = { version: 1, platformAgeMs: -1 };
@@ -91,29 +91,16 @@
   };
 }
 
-function buildCall(idempotent: boolean): GateCall {
-  return {
-    service: 'records',
-    method: 'GET',
-    path: '/',
-    headers: [],
-    body: undefined,
-    remainingMs: 10_000,
-    targetMs: 1_000,
-    priority: 1,
-    kind: 'k',
-    idempotent,
-    isNested: false,
-  };
-}
+const buildTestCall = (idempotent: boolean): GateCall =>
+  buildCall({ remainingMs: 10_000, targetMs: 1_000, kind: 'k', idempotent });
 
 describe('a daemon that falls silent with calls running', () => {
   it('keeps the call that may have run, whose answer still arrives', async () => {
     const daemon = await startDaemon();
     const { peer } = daemon;
     await waitUntil(() => peer.getService() === 'records', 'the report arrives');
-    const once = peer.send(buildCall(false)).end;
-    const repeatable = peer.send(buildCall(true)).end;
+    const once = peer.send(buildTestCall(false)).end;
+    const repeatable = peer.send(buildTestCall(true)).end;
     assert.deepEqual(await repeatable, { type: 'unknown', reason: 'link-lost' });
     assert.equal(peer.getView('k', 100)?.avoidedUntilMs, Infinity, 'it gets no new call');
     daemon.send(toEndMessage(1, answered, report));
@@ -130,7 +117,7 @@
   it('loses its link once no call waits on it', async () => {
     const daemon = await startDaemon();
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
-    const end = await daemon.peer.send(buildCall(true)).end;
+    const end = await daemon.peer.send(buildTestCall(true)).end;
     assert.equal(end.type, 'unknown');
     await waitUntil(() => daemon.countConnections() === 2, 'a new link is opened');
     daemon.close();
