--- a/packages/client/src/CactusdealClientExplain.ts
+++ b/packages/client/src/CactusdealClientExplain.ts
@@ -110,6 +110,12 @@
   stopped: () => 'answered 502, may have run: its daemon stopped before the answer arrived',
   unreachable: () => 'refused, not run: the gate or its upstream could not be reached',
   expired: () => 'refused, not run: its deadline passed before it could start',
+  unconfirmed: (steps) => {
+    const linkMs = steps.findLast(({ event }) => event === 'call-late')?.fields.linkMs;
+    const late = linkMs === undefined ? 'late' : `${linkMs} ms late`;
+    return `refused, not run: it reached the gate ${late}, and its entry did not confirm that it was wanted`;
+  },
+  quarantined: () => 'refused, not run: calls alike were running when upstreams crashed',
   shed: () => 'refused, not run: the upstream itself refused it (load shedding)',
   'timed-out': () =>
     'answered 504, may have run: it had not ended by the deadline of its route or caller',
--- a/packages/client/src/__tests__/unit/CactusdealClientExplain.test.ts
+++ b/packages/client/src/__tests__/unit/CactusdealClientExplain.test.ts
@@ -44,6 +44,16 @@
     verdict: /not run: the upstream was draining/,
     deciding: 0,
   },
+  {
+    name: 'refused as it reached the gate late',
+    lines: [
+      `${formatTime(0)} level=info event=call-late daemon=d2 call=c1 linkMs=612 remainingMs=140`,
+      `${formatTime(1)} level=info event=attempt-ended daemon=d1 call=c1 gate=d2 outcome=not-run reason=unconfirmed totalMs=870 targetMs=300`,
+      `${formatTime(2)} level=info event=call-refused daemon=d1 call=c1 status=503 reason=unconfirmed version=7`,
+    ],
+    verdict: /not run: it reached the gate 612 ms late, and its entry did not confirm/,
+    deciding: 0,
+  },
   {
     name: 'answered 502 as the link was silent',
     lines: [
