Read on after a long turn before a call is led, and name the time of that on links

Cause: a turn reads only what had arrived when it gathered its input. A pause or a long task after that, and before the tasks that were due in this turn, lets a call out whose caller has left meanwhile. The link named the time of writing, which is after such a pause, so that the gate saw no delay.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -107,6 +107,8 @@
   readonly id: string | undefined;
   readonly body: ReadBody;
   readonly startedAtMs: number;
+  /** Last time at which its caller is known to have waited. */
+  readonly wantedAtMs: number;
   readonly caller: Caller;
 }
 
@@ -179,9 +181,9 @@
       const body = await this.readBody(request);
       heldBytes = body.map(countHeldBytes).orDefault(0);
       if (!this.heldBytes.take(heldBytes)) heldBytes = 0;
-      await this.options.deferredTasks.wait();
+      const wantedAtMs = await this.options.deferredTasks.wait();
       const id = findField(request.rawHeaders, this.options.names.callId);
-      await this.serve({ request, response, id, body, startedAtMs, caller });
+      await this.serve({ request, response, id, body, startedAtMs, wantedAtMs, caller });
     } finally {
       this.activeCalls -= 1;
       this.heldBytes.release(heldBytes);
@@ -256,7 +258,7 @@
 
   /** Routes the call; resolves at its deadline at the latest, or when the caller disconnects. */
   private routeCall(
-    { request, id, startedAtMs, caller }: ReceivedRequest,
+    { request, id, startedAtMs, wantedAtMs, caller }: ReceivedRequest,
     identity: CallIdentity,
     route: CompiledRoute,
     body: Uint8Array | undefined,
@@ -272,6 +274,7 @@
       id,
       maxAttempts: rule.maxAttempts,
       startedAtMs,
+      wantedAtMs,
       targetAtMs: firstAtMs + rule.targetMs,
       deadlineAtMs,
       call: {
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -65,8 +65,11 @@
    * no link.
    */
   getStatus(): (Status & { readonly atMs: number }) | undefined;
-  /** Sends a call to the gate; it ends as not run if there is no link. */
-  send(call: GateCall): Attempt;
+  /**
+   * Sends a call to the gate; it ends as not run if there is no link. At `wantedAtMs`, to which the
+   * call's times refer, its caller is known to have waited.
+   */
+  send(call: GateCall, wantedAtMs: number): Attempt;
   /** Makes the gate ineligible for `durationMs`. */
   avoid(durationMs: number): void;
   /**
@@ -360,7 +363,7 @@
     this.options.receiveStatus(this, status);
   }
 
-  public send(call: GateCall): Attempt {
+  public send(call: GateCall, wantedAtMs: number): Attempt {
     if (!this.isConnected()) {
       return { end: Promise.resolve(buildNotRun(NotRunReason.Unreachable)), cancel: () => {} };
     }
@@ -385,7 +388,7 @@
     });
     if (this.pendingCalls.size === 1) this.link.resetSilence();
     this.unreportedCalls += 1;
-    this.link.write(toCallMessage(id, call, this.options.clock()));
+    this.link.write(toCallMessage(id, call, wantedAtMs));
     return { end, cancel: () => this.cancel(id) };
   }
 
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -25,6 +25,8 @@
   /** Most upstreams that the call may reach. */
   readonly maxAttempts: number;
   readonly startedAtMs: number;
+  /** Last time at which its caller is known to have waited. */
+  readonly wantedAtMs: number;
   readonly targetAtMs: number;
   readonly deadlineAtMs: number;
 }
@@ -108,13 +110,17 @@
 
   private busyGateCount = 0;
 
+  private wantedAtMs: number;
+
   /** The caller gets this result if no further attempt is made. */
   private lastEnd: RoutedEnd | undefined;
 
   public constructor(
     private readonly options: RouterOptions,
     private readonly routed: RoutedCall,
-  ) {}
+  ) {
+    this.wantedAtMs = routed.wantedAtMs;
+  }
 
   public cancel(): void {
     this.isCancelled = true;
@@ -139,7 +145,7 @@
       const end = await this.attempt(gateView, nowMs);
       if (!this.shouldContinue(gateView, end)) return this.lastEnd as RoutedEnd;
       // The caller's departure may have arrived together with this end.
-      await deferredTasks.wait();
+      this.wantedAtMs = await deferredTasks.wait();
     }
   }
 
@@ -191,10 +197,10 @@
 
   private async attempt(view: GateView, nowMs: number): Promise<AttemptEnd> {
     const { self, gate, members } = this.options;
-    const { call, targetAtMs, deadlineAtMs } = this.routed;
-    const gateCall = { ...call, remainingMs: deadlineAtMs - nowMs, targetMs: targetAtMs - nowMs };
     const isOwn = view.memberId === self.id;
-    const attempt = isOwn ? gate.serve(gateCall) : members.find(view.memberId)?.send(gateCall);
+    const attempt = isOwn
+      ? gate.serve(this.buildGateCall(nowMs))
+      : members.find(view.memberId)?.send(this.buildGateCall(this.wantedAtMs), this.wantedAtMs);
     if (attempt === undefined) return buildNotRun(NotRunReason.Unreachable);
     this.currentAttempt = attempt;
     const end = await attempt.end;
@@ -202,6 +208,12 @@
     return end;
   }
 
+  /** The call with the time that it has left at `atMs`. */
+  private buildGateCall(atMs: number): GateCall {
+    const { call, targetAtMs, deadlineAtMs } = this.routed;
+    return { ...call, remainingMs: deadlineAtMs - atMs, targetMs: targetAtMs - atMs };
+  }
+
   /** Records the end of an attempt; true if another attempt may follow. */
   private shouldContinue(view: GateView, end: AttemptEnd): boolean {
     this.logEnd(view, end);
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -33,7 +33,7 @@
 const NO_BODY = null;
 const NO_LIMIT = null;
 
-/** Encodes a call as fields of a message, with the time of sending by this daemon's clock. */
+/** Encodes a call as fields of a message, with the time to which its own times refer, by this daemon's clock. */
 export function toCallMessage(id: number, call: GateCall, sentAtMs: number): Message {
   return [
     MessageKind.Call,
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -99,8 +99,8 @@
     const daemon = await startDaemon();
     const { peer } = daemon;
     await waitUntil(() => peer.getService() === 'records', 'the report arrives');
-    const once = peer.send(buildTestCall(false)).end;
-    const repeatable = peer.send(buildTestCall(true)).end;
+    const once = peer.send(buildTestCall(false), 0).end;
+    const repeatable = peer.send(buildTestCall(true), 0).end;
     assert.deepEqual(await repeatable, { type: 'unknown', reason: 'link-lost' });
     assert.equal(peer.getView('k', 100)?.avoidedUntilMs, Infinity, 'it gets no new call');
     daemon.send(toEndMessage(1, answered, report));
@@ -117,7 +117,7 @@
   it('loses its link once no call waits on it', async () => {
     const daemon = await startDaemon();
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
-    const end = await daemon.peer.send(buildTestCall(true)).end;
+    const end = await daemon.peer.send(buildTestCall(true), 0).end;
     assert.equal(end.type, 'unknown');
     await waitUntil(() => daemon.countConnections() === 2, 'a new link is opened');
     daemon.close();
--- a/packages/relay/src/__tests__/unit/CactusdealRelayRouter.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRouter.test.ts
@@ -22,6 +22,7 @@
   call: buildCall(),
   maxAttempts: 3,
   startedAtMs: 0,
+  wantedAtMs: 0,
   targetAtMs: 500,
   deadlineAtMs: 1_000,
 };
--- a/packages/shared/src/__tests__/unit/CactusdealSharedDeferredTasks.test.ts
+++ b/packages/shared/src/__tests__/unit/CactusdealSharedDeferredTasks.test.ts
@@ -6,11 +6,16 @@
 
 /** Turns of the event loop from the one in which a task is scheduled to the one that runs it. */
 const EXPECTED_TURNS = 1;
+const LONG_TURN_MS = 700;
 
 interface Case {
   readonly name: string;
   /** Turns in which tasks are scheduled while the loop reads input, in order. */
   readonly scheduledIn: readonly number[];
+  /** Turns of 700 ms, after whose reading of input the process stands still. */
+  readonly longTurns?: readonly number[];
+  /** Turns that pass before each task. */
+  readonly expected?: readonly number[];
 }
 
 const cases: readonly Case[] = [
@@ -19,13 +24,17 @@
   { name: 'tasks of two turns', scheduledIn: [0, 1] },
   { name: 'tasks of every turn', scheduledIn: [0, 1, 2, 3, 4, 5] },
   { name: 'tasks of turns apart', scheduledIn: [0, 2, 5, 6] },
+  { name: 'a task read before a long turn', scheduledIn: [0], longTurns: [1], expected: [2] },
+  { name: 'a task read in a long turn', scheduledIn: [0], longTurns: [0], expected: [2] },
+  { name: 'a task in long turns only', scheduledIn: [0], longTurns: [0, 1, 2, 3], expected: [3] },
 ];
 
 // Guards against GONE: a call that joined others waited for less than the end of its connection takes.
 describe('a whole turn passes before each deferred task', () => {
-  cases.forEach(({ name, scheduledIn }) => {
+  cases.forEach(({ name, scheduledIn, longTurns = [], expected }) => {
     it(name, async () => {
-      const deferredTasks = createDeferredTasks();
+      let nowMs = 0;
+      const deferredTasks = createDeferredTasks(() => nowMs);
       const waitedTurns: number[] = [];
       let turn = 0;
       const turns = startTurns(() => {
@@ -33,14 +42,12 @@
         scheduledIn
           .filter((at) => at === atTurn)
           .forEach(() => deferredTasks.schedule(() => waitedTurns.push(turn - 1 - atTurn)));
+        if (longTurns.includes(turn)) nowMs += LONG_TURN_MS;
         turn += 1;
       });
       while (waitedTurns.length < scheduledIn.length) await waitMs(1);
       turns.close();
-      assert.deepEqual(
-        waitedTurns,
-        scheduledIn.map(() => EXPECTED_TURNS),
-      );
+      assert.deepEqual(waitedTurns, expected ?? scheduledIn.map(() => EXPECTED_TURNS));
     });
   });
 });
