--- a/packages/relay/src/CactusdealRelayHeldCalls.ts
+++ b/packages/relay/src/CactusdealRelayHeldCalls.ts
@@ -37,7 +37,7 @@
   readonly confirm: () => void;
 }
 
-/** A call with its time of sending by the other daemon's clock, if that names it. */
+/** A call with the time, by the other daemon's clock, to which its times refer; undefined if that names none. */
 interface HeldCall {
   readonly call: GateCall;
   readonly sentAtMs: number | undefined;
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -53,7 +53,7 @@
   ];
 }
 
-/** The time of sending in a call's message; undefined from a daemon that does not name it. */
+/** The time to which the times in a call's message refer; undefined from a daemon that does not name it. */
 export function parseCallTime(message: Message): number | undefined {
   return parseTime(message[13]);
 }
