--- a/packages/relay/src/CactusdealRelayFrames.ts
+++ b/packages/relay/src/CactusdealRelayFrames.ts
@@ -19,6 +19,12 @@
   Departure: 13,
   Limit: 14,
   Crashes: 15,
+  QuotaUsage: 16,
+  QuotaState: 17,
+  QuotaSummary: 18,
+  CallPiece: 19,
+  RolloutCounts: 20,
+  RolloutState: 21,
 } as const;
 
 /** A message on a link: its kind, then its fields in a fixed order. */
--- a/packages/relay/src/CactusdealRelayRoutes.ts
+++ b/packages/relay/src/CactusdealRelayRoutes.ts
@@ -33,10 +33,12 @@
   return { rule, kind: formatKind(rule), pickService: createServicePicker(rule.destinations) };
 }
 
-/** Large answers have a kind of their own, as their transfer takes its time. */
-function formatKind({ priority, targetMs, idempotent, hasLargeAnswers }: RouteRule): string {
+/** Calls with large answers or bodies have kinds of their own, as the transfer takes its time. */
+function formatKind(rule: RouteRule): string {
+  const { priority, targetMs, idempotent, hasLargeAnswers, hasLargeBodies } = rule;
   const kind = `${priority}/${targetMs}/${idempotent ? 'repeatable' : 'once'}`;
-  return hasLargeAnswers ? `${kind}/large` : kind;
+  const largeAnswers = hasLargeAnswers ? '/large' : '';
+  return `${kind}${largeAnswers}${hasLargeBodies ? '/large-body' : ''}`;
 }
 
 /** Removes the port and converts to lower case. */
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -20,6 +20,10 @@
   readonly idempotent: boolean;
   /** Whether its answers are so large that their transfer time matters. */
   readonly hasLargeAnswers: boolean;
+  /** Whether its bodies are so large that their transfer time matters. */
+  readonly hasLargeBodies: boolean;
+  /** Whether a call needs no API key although the configuration has organisations. */
+  readonly isPublic: boolean;
   /** Time after which the caller gets an error, in milliseconds. */
   readonly timeoutMs: number;
   /** Latency target, in milliseconds: a later answer is worth less to the caller. */
@@ -31,6 +35,19 @@
   readonly destinations: readonly RouteDestination[];
 }
 
+/** An organisation whose callers share one quota. */
+export interface OrganisationRule {
+  readonly name: string;
+  /** API keys of its callers. */
+  readonly keys: readonly string[];
+  /** 0 is the most urgent; goes before the priority of the route. */
+  readonly priority: number;
+  /** Calls per second over all daemons together; 0 for no limit. */
+  readonly callsPerSecond: number;
+  /** Calls that may be made at once beyond `callsPerSecond`. */
+  readonly burst: number;
+}
+
 /** Limits on the size and pace of callers' requests. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
@@ -46,6 +63,10 @@
   /** Names of all services, including those without a route. */
   readonly services: ReadonlySet<string>;
   readonly limits: CallerLimits;
+  /** Undefined if calls need no API key and have no organisation. */
+  readonly organisations: readonly OrganisationRule[] | undefined;
+  /** What in the document this release does not know, with the safe meaning that it was given. */
+  readonly warnings: readonly string[];
   /** The JSON text that it was decoded from. */
   readonly source: string;
 }
@@ -64,6 +85,10 @@
   readonly startedAtMs: number;
   /** Increases with each heartbeat of one instance. */
   readonly sequence: number;
+  /** Version of its software; undefined if it does not name it. */
+  readonly softwareVersion?: string | undefined;
+  /** How much longer it is slow after its start, in milliseconds; undefined if it does not name it. */
+  readonly warmUpLeftMs?: number | undefined;
 }
 
 /** The limit that an instance of an upstream names. */
@@ -146,6 +171,8 @@
    * Whether a running call depends on this one, so that refusing it wastes the work already done.
    */
   readonly isNested: boolean;
+  /** Name of the caller's organisation; undefined if it has none. */
+  readonly organisation?: string | undefined;
 }
 
 /** A complete response of an upstream. */
@@ -262,6 +289,8 @@
   readonly limit: string;
   /** Present in a response of an upstream that is about to stop. */
   readonly leaving: string;
+  /** Name of the caller's organisation, for upstreams. */
+  readonly organisation: string;
   /**
    * Parses the id of the call for which the upstream made this one; undefined if the call is not
    * nested.
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -20,6 +20,8 @@
     prefix: '/',
     idempotent: true,
     hasLargeAnswers: false,
+    hasLargeBodies: false,
+    isPublic: false,
     timeoutMs: 1_000,
     targetMs: 500,
     priority: 1,
@@ -36,7 +38,15 @@
     headerTimeoutMs: 3_000,
     idleTimeoutMs: 15_000,
   };
-  return { version, routes, services: new Set(['records']), limits, source: String(version) };
+  return {
+    version,
+    routes,
+    services: new Set(['records']),
+    limits,
+    organisations: undefined,
+    warnings: [],
+    source: String(version),
+  };
 }
 
 export function buildUpstream(changes: Partial<Upstream> = {}): Upstream {
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -21,6 +21,7 @@
   notRun: 'x-not-run',
   limit: 'x-limit',
   leaving: 'x-leaving',
+  organisation: 'x-organisation',
   parseParentId: (callId) => {
     const end = callId.lastIndexOf('.');
     return end > 0 ? callId.slice(0, end) : undefined;
--- a/packages/relay/src/__tests__/unit/CactusdealRelayRoutes.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRoutes.test.ts
@@ -46,6 +46,7 @@
   [{}, '1/500/repeatable'],
   [{ idempotent: false }, '1/500/once'],
   [{ hasLargeAnswers: true }, '1/500/repeatable/large'],
+  [{ hasLargeBodies: true, idempotent: false }, '1/500/once/large-body'],
 ];
 
 describe('kind of the calls of a route', () => {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -12,6 +12,7 @@
   type HeaderNames,
   type Heartbeat,
   type Member,
+  type OrganisationRule,
   type RelayConfiguration,
   type RouteDestination,
   type RouteRule,
