Authenticate callers by the API keys of organisations at the entry

Cause: organisations and public routes were decoded, but nothing used them: any call was served without a key, and API keys would have reached upstreams.

Change: CactusdealRelayOrganisations compiles the keys of a version to one map, which belongs to the route table of the same version, and decides for each call before it is routed. A call without a known key gets 401 with the connection kept open; its body is read and not kept. Upstreams get the organisation's name and never the API key. The organisation's priority and the route's are one rank, which existing comparisons of priorities use; calls without an organisation rank before those with one. The organisation is carried over links in an appended field, and it tells retries of different organisations apart. Warnings of a version are logged and counted, and rejected versions and 401s are counted. What the entry reads from a request moves to CactusdealRelayCallerRequest. A quota has its place at the end of HttpEntry.admit. The tests of configurations pass the new function that counts rejections.

--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -1,3 +1,4 @@
+import { isMostUrgentRank } from './CactusdealRelayOrganisations.js';
 import type { GateReport } from './CactusdealRelayTypes.js';
 
 /** What this entry knows about one gate. */
@@ -91,7 +92,9 @@
  */
 export function chooseGate(input: ChoiceInput, pickCandidates = pickFew): Choice {
   const local = findFastest(true, input, pickCandidates);
-  const targetFraction = input.priority === 0 ? URGENT_TARGET_FRACTION : LOCAL_TARGET_FRACTION;
+  const targetFraction = isMostUrgentRank(input.priority)
+    ? URGENT_TARGET_FRACTION
+    : LOCAL_TARGET_FRACTION;
   if (local.best !== undefined && local.best.answerMs <= input.targetMs * targetFraction) {
     return { type: 'gate', gate: local.best.gate };
   }
--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -47,6 +47,8 @@
   readonly log: Log;
   /** Called after a version has come into force. */
   readonly observe: (configuration: RelayConfiguration, origin: VersionOrigin) => void;
+  /** Called with each version that is rejected because it cannot be read. */
+  readonly recordRejection: () => void;
   /** Called when reading from the platform fails and when it works again. */
   readonly observePlatform: () => void;
 }
@@ -69,6 +71,8 @@
 const ROLE_CHECK_MS = 250;
 const MIN_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 1_600;
+/** Most warnings of one version that are logged; all are counted. */
+const MAX_LOGGED_WARNINGS = 10;
 /** Least time between requests for a configuration to other daemons. */
 const REQUEST_INTERVAL_MS = 500;
 /**
@@ -173,6 +177,7 @@
     decoded
       .ifLeft(({ kind, message }) => {
         this.options.log.warn('version-rejected', { kind, message });
+        this.options.recordRejection();
       })
       .ifRight((configuration) => this.apply(configuration, origin));
   }
@@ -189,11 +194,19 @@
       version: next.version,
       before: previousVersion,
       routes: next.routes.length,
+      organisations: next.organisations?.length,
       origin,
     });
+    this.logWarnings(next);
     observe(next, origin);
   }
 
+  private logWarnings({ version, warnings }: RelayConfiguration): void {
+    warnings.slice(0, MAX_LOGGED_WARNINGS).forEach((message) => {
+      this.options.log.warn('version-warning', { version, message, warnings: warnings.length });
+    });
+  }
+
   public async run(members: Members): Promise<void> {
     const { signal } = this.stop;
     let revision: number | undefined;
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -12,7 +12,13 @@
 } from '@cactusdeal/shared';
 import { type ReadBody, readBody } from './CactusdealRelayBody.js';
 import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
-import { findField, selectEndToEnd } from './CactusdealRelayHeaders.js';
+import {
+  type CallerRequests,
+  createCallerRequests,
+  MAX_DEADLINE_MS,
+} from './CactusdealRelayCallerRequest.js';
+import { findField } from './CactusdealRelayHeaders.js';
+import { checkApiKey, computeRank } from './CactusdealRelayOrganisations.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
 import {
   type CallIdentity,
@@ -26,6 +32,7 @@
   CallStage,
   type HeaderNames,
   NotRunReason,
+  type OrganisationRule,
   UnknownReason,
 } from './CactusdealRelayTypes.js';
 
@@ -68,6 +75,7 @@
   readonly recordNestedFailure: (callId: string) => void;
   readonly recordCall: (record: CallRecord) => void;
   readonly recordCancelled: (stage: CallStage) => void;
+  readonly recordUnauthorised: () => void;
 }
 
 /** A call that has ended, for the metrics. */
@@ -80,12 +88,12 @@
 
 /** Limit of the HTTP parser; above what any configuration allows. */
 const MAX_HEADER_BYTES = 64 * 1024;
-/** Limit of the time that a caller may ask for, and the default if it names none. */
-const MAX_DEADLINE_MS = 600_000;
 /** Most bytes of bodies that callers' calls hold together, from their arrival to their end. */
 const MAX_HELD_BYTES = 64 * 1024 * 1024;
 /** Bytes of each body that do not count among them. */
 const RESERVED_BYTES = 16 * 1024;
+/** For bodies that are read and discarded. */
+const NO_BYTES: ByteBudget = createByteBudget(0);
 /** Retry-after while the bodies of other calls leave no memory. */
 const NO_MEMORY_RETRY_MS = 300;
 /** Retry-after while there is no configuration. */
@@ -112,6 +120,15 @@
   readonly caller: Caller;
 }
 
+/** A request whose route is found and whose caller is authenticated. */
+interface AdmittedRequest {
+  readonly received: ReceivedRequest;
+  readonly identity: CallIdentity;
+  readonly route: CompiledRoute;
+  readonly routes: RouteTable;
+  readonly organisation: OrganisationRule | undefined;
+}
+
 class HttpEntry implements Entry {
   private readonly server: Server;
 
@@ -119,9 +136,9 @@
 
   private readonly responder: Responder;
 
-  private readonly unservedCalls: UnservedCalls = createUnservedCalls();
+  private readonly requests: CallerRequests;
 
-  private readonly strippedFields: ReadonlySet<string>;
+  private readonly unservedCalls: UnservedCalls = createUnservedCalls();
 
   private maxBodyBytes = Infinity;
 
@@ -142,7 +159,7 @@
 
   public constructor(private readonly options: EntryOptions) {
     const { names, log, getRoutes } = options;
-    this.strippedFields = new Set([names.deadline, names.upstreamId, names.callerService]);
+    this.requests = createCallerRequests(names, options.callerService);
     this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
@@ -191,26 +208,28 @@
   }
 
   private readBody(request: IncomingMessage): Promise<ReadBody> {
-    return readBody(request, () => ({
-      maxBytes: this.maxBodyBytes,
-      budget: this.heldBytes,
-      reservedBytes: RESERVED_BYTES,
-      pacer: this.options.pacer,
-      timeoutMs: this.computeBodyTimeoutMs(request),
-    }));
-  }
-
-  /** A call whose body is complete only after its deadline could not be served. */
-  private computeBodyTimeoutMs(request: IncomingMessage): number {
-    const { host, path, remainingMs } = this.readIdentity(request);
-    const timeoutMs = this.options.getRoutes()?.match(host, path)?.rule.timeoutMs;
-    return Math.min(remainingMs, timeoutMs ?? this.idleTimeoutMs);
+    return readBody(request, () => {
+      const { host, path, remainingMs } = this.requests.readIdentity(request);
+      const routes = this.options.getRoutes();
+      const rule = routes?.match(host, path)?.rule;
+      const { type } = checkApiKey(routes?.organisations, rule, request.rawHeaders);
+      // The body of an unauthorised call is read, so that its connection stays open, and not kept.
+      const isKept = type === 'admitted';
+      return {
+        maxBytes: this.maxBodyBytes,
+        budget: isKept ? this.heldBytes : NO_BYTES,
+        reservedBytes: isKept ? RESERVED_BYTES : 0,
+        pacer: this.options.pacer,
+        // A call whose body is complete only after its deadline could not be served.
+        timeoutMs: Math.min(remainingMs, rule?.timeoutMs ?? this.idleTimeoutMs),
+      };
+    });
   }
 
   private async serve(received: ReceivedRequest): Promise<void> {
     const { request, response, id, startedAtMs, caller } = received;
     const failure = received.body.swap().toMaybe().extract()?.kind;
-    const { clock, log, getRoutes, recordCall, recordCancelled } = this.options;
+    const { clock, log, getRoutes, recordCancelled } = this.options;
     if (caller.hasDisconnected || failure === BodyFailureKind.Incomplete) {
       log.debug('call-abandoned', { call: id, waitedMs: Math.round(clock() - startedAtMs) });
       recordCancelled(CallStage.Entry);
@@ -227,23 +246,56 @@
       this.responder.refuse(response, id, reason, NO_CONFIGURATION_RETRY_MS);
       return;
     }
-    const identity = this.readIdentity(request);
+    const admitted = this.admit(received, routes, failure);
+    if (admitted !== undefined) await this.serveAdmitted(admitted);
+  }
+
+  /**
+   * Authenticates a call and finds its route; responds and returns undefined if it is refused. The quota of
+   * an organisation is to be checked last, as only calls that go on use it.
+   */
+  private admit(
+    received: ReceivedRequest,
+    routes: RouteTable,
+    failure: BodyFailureKind | undefined,
+  ): AdmittedRequest | undefined {
+    const { request, response, id } = received;
+    const identity = this.requests.readIdentity(request);
     const route = routes.match(identity.host, identity.path);
+    const authentication = checkApiKey(routes.organisations, route?.rule, request.rawHeaders);
+    if (authentication.type === 'unauthorised') {
+      this.options.recordUnauthorised();
+      this.responder.answerUnauthorised(response, id);
+      return undefined;
+    }
     if (route === undefined) {
       this.responder.answerNoRoute(response, id);
-      return;
+      return undefined;
     }
     if (failure !== undefined) {
       this.answerBodyFailure(response, id, failure);
-      return;
+      return undefined;
     }
-    const body = received.body.extract() as Uint8Array | undefined;
+    const { organisation } = authentication;
+    return {
+      received,
+      identity: { ...identity, organisation: organisation?.name },
+      route,
+      routes,
+      organisation,
+    };
+  }
+
+  private async serveAdmitted(admitted: AdmittedRequest): Promise<void> {
+    const { received, identity, route } = admitted;
+    const { response, id, startedAtMs } = received;
     const firstAtMs = this.unservedCalls.findFirstAtMs(identity, startedAtMs);
-    const end = await this.routeCall(received, identity, route, body, firstAtMs);
+    const end = await this.routeCall(admitted, firstAtMs);
     if (!isSuccess(end)) this.recordFailure(received, identity, firstAtMs);
     this.responder.finish(response, id, end);
     const outcome = end.type === 'answered' ? String(end.answer.status) : end.reason;
-    recordCall({ kind: route.kind, outcome, durationMs: clock() - startedAtMs });
+    const durationMs = this.options.clock() - startedAtMs;
+    this.options.recordCall({ kind: route.kind, outcome, durationMs });
   }
 
   private answerBodyFailure(
@@ -258,12 +310,10 @@
 
   /** Routes the call; resolves at its deadline at the latest, or when the caller disconnects. */
   private routeCall(
-    { request, id, startedAtMs, wantedAtMs, caller }: ReceivedRequest,
-    identity: CallIdentity,
-    route: CompiledRoute,
-    body: Uint8Array | undefined,
+    { received, identity, route, routes, organisation }: AdmittedRequest,
     firstAtMs: number,
   ): Promise<RoutedEnd> {
+    const { request, id, startedAtMs, wantedAtMs, caller } = received;
     const { rule } = route;
     const { method, path, remainingMs } = identity;
     const deadlineAtMs = Math.min(
@@ -281,12 +331,13 @@
         service: route.pickService(),
         method,
         path,
-        headers: this.buildHeaders(request),
-        body,
-        priority: rule.priority,
+        headers: this.requests.buildHeaders(request, routes, organisation),
+        body: received.body.extract() as Uint8Array | undefined,
+        priority: computeRank(organisation, rule.priority),
         kind: route.kind,
         idempotent: rule.idempotent,
         isNested: this.isNested(id),
+        organisation: organisation?.name,
       },
     });
     return this.waitForEnd(caller, run, deadlineAtMs);
@@ -338,29 +389,6 @@
     });
   }
 
-  private readIdentity(request: IncomingMessage): CallIdentity {
-    return {
-      method: request.method ?? 'GET',
-      host: findField(request.rawHeaders, 'host') ?? '',
-      path: request.url ?? '/',
-      remainingMs: this.readDeadlineMs(request),
-    };
-  }
-
-  /** Reads the time that the caller will wait, in milliseconds. */
-  private readDeadlineMs(request: IncomingMessage): number {
-    const text = findField(request.rawHeaders, this.options.names.deadline);
-    const remainingMs = Number(text ?? '');
-    return remainingMs > 0 ? Math.min(remainingMs, MAX_DEADLINE_MS) : MAX_DEADLINE_MS;
-  }
-
-  private buildHeaders(request: IncomingMessage): string[] {
-    const { names, callerService } = this.options;
-    const headers = selectEndToEnd(request.rawHeaders, this.strippedFields);
-    headers.push(names.callerService, callerService);
-    return headers;
-  }
-
   public countCalls(): number {
     return this.activeCalls;
   }
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -12,6 +12,12 @@
   recordInterruption(): void;
   /** Counts a call that was cancelled. */
   recordCancelled(stage: CallStage): void;
+  /** Counts a call that got 401. */
+  recordUnauthorised(): void;
+  /** Counts a version of the configuration that could not be read. */
+  recordRejection(): void;
+  /** Counts what this release does not know in a version that came into force. */
+  recordWarnings(count: number): void;
   recordPause(pause: Pause): void;
   /** Renders the metrics in the text exposition format. */
   render(): Promise<string>;
@@ -65,6 +71,21 @@
     labelNames: ['stage'],
     registers,
   });
+  const unauthorisedCalls = new Counter({
+    name: 'cactusdeal_unauthorised_calls_total',
+    help: 'Calls that got 401, as they had no API key of an organisation',
+    registers,
+  });
+  const rejections = new Counter({
+    name: 'cactusdeal_version_rejections_total',
+    help: 'Versions of the configuration that could not be read',
+    registers,
+  });
+  const warnings = new Counter({
+    name: 'cactusdeal_version_warnings_total',
+    help: 'What this release does not know in versions that came into force',
+    registers,
+  });
   const pauses = new Histogram({
     name: 'cactusdeal_event_loop_pause_seconds',
     help: 'Times of 0.1 s and more in which the daemon handled nothing',
@@ -104,6 +125,9 @@
     recordSent: (isNested) => sentCalls.inc({ nested: String(isNested) }),
     recordInterruption: () => interruptions.inc(),
     recordCancelled: (stage) => cancelledCalls.inc({ stage }),
+    recordUnauthorised: () => unauthorisedCalls.inc(),
+    recordRejection: () => rejections.inc(),
+    recordWarnings: (count) => warnings.inc(count),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     render: () => registry.metrics(),
   };
--- a/packages/relay/src/CactusdealRelayResponder.ts
+++ b/packages/relay/src/CactusdealRelayResponder.ts
@@ -20,6 +20,8 @@
     reason: NotRunReason,
     retryAfterMs: number,
   ): void;
+  /** Responds that the call names no API key that the configuration knows, or none where it needs one. */
+  answerUnauthorised(response: ServerResponse, id: string | undefined): void;
   answerNoRoute(response: ServerResponse, id: string | undefined): void;
   answerTooLarge(response: ServerResponse, id: string | undefined): void;
   /** Responds that the body was not complete in time, so that the call was not run. */
@@ -35,6 +37,7 @@
 }
 
 const HttpStatus = {
+  Unauthorised: 401,
   NotFound: 404,
   RequestTimeout: 408,
   TooLarge: 413,
@@ -44,6 +47,8 @@
   TimedOut: 504,
 } as const;
 const MS_PER_SECOND = 1_000;
+/** RFC 9110 section 11.6.1 requires a challenge in each response with status 401. */
+const CHALLENGE: readonly string[] = ['www-authenticate', 'Bearer'];
 const NO_BODY = Buffer.alloc(0);
 const NO_FIELDS: ReadonlySet<string> = new Set();
 
@@ -52,6 +57,8 @@
   return {
     finish,
     refuse,
+    answerUnauthorised: (response, id) =>
+      answer(response, id, HttpStatus.Unauthorised, 'unauthorised', CHALLENGE),
     answerNoRoute: (response, id) => answer(response, id, HttpStatus.NotFound, 'no-route'),
     answerTooLarge: (response, id) => answer(response, id, HttpStatus.TooLarge, 'body-too-large'),
     answerBodyTimeout: (response, id) =>
--- a/packages/relay/src/CactusdealRelayRoutes.ts
+++ b/packages/relay/src/CactusdealRelayRoutes.ts
@@ -1,3 +1,4 @@
+import { buildOrganisationTable, type OrganisationTable } from './CactusdealRelayOrganisations.js';
 import type { RelayConfiguration, RouteDestination, RouteRule } from './CactusdealRelayTypes.js';
 
 /** A route with the state for choosing among its services. */
@@ -12,6 +13,8 @@
 /** Finds the route of a call. */
 export interface RouteTable {
   readonly version: number;
+  /** Organisations of the same version; undefined if calls need no API key. */
+  readonly organisations: OrganisationTable | undefined;
   /** Finds the route of a `Host` field and request target; undefined if none matches. */
   match(host: string, target: string): CompiledRoute | undefined;
 }
@@ -25,6 +28,7 @@
   });
   return {
     version: configuration.version,
+    organisations: buildOrganisationTable(configuration.organisations),
     match: (host, target) => findLongestPrefix(routesByHost.get(convertHost(host)), target),
   };
 }
--- a/packages/relay/src/CactusdealRelayUnservedCalls.ts
+++ b/packages/relay/src/CactusdealRelayUnservedCalls.ts
@@ -3,6 +3,8 @@
   readonly method: string;
   readonly host: string;
   readonly path: string;
+  /** Name of the caller's organisation; undefined if it has none. */
+  readonly organisation?: string | undefined;
   /** Time left until the caller's deadline, in milliseconds. */
   readonly remainingMs: number;
 }
@@ -62,6 +64,6 @@
   }
 }
 
-function formatKey({ method, host, path }: CallIdentity): string {
-  return `${method} ${host}${path}`;
+function formatKey({ method, host, path, organisation = '' }: CallIdentity): string {
+  return `${method} ${host}${path} ${organisation}`;
 }
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -32,6 +32,7 @@
 
 const NO_BODY = null;
 const NO_LIMIT = null;
+const NO_ORGANISATION = null;
 
 /** Encodes a call as fields of a message, with the time to which its own times refer, by this daemon's clock. */
 export function toCallMessage(id: number, call: GateCall, sentAtMs: number): Message {
@@ -50,6 +51,7 @@
     call.idempotent,
     call.isNested,
     Math.round(sentAtMs),
+    call.organisation ?? NO_ORGANISATION,
   ];
 }
 
@@ -72,6 +74,11 @@
   return Number.isFinite(field) ? (field as number) : undefined;
 }
 
+/** A text field; undefined from a daemon that does not send it. */
+function parseText(field: unknown): string | undefined {
+  return typeof field === 'string' ? field : undefined;
+}
+
 /** Decodes a call from the fields of its message. */
 export function parseCall(message: Message): GateCall {
   const body = message[6] as Uint8Array | null;
@@ -87,6 +94,7 @@
     kind: message[10] as string,
     idempotent: message[11] as boolean,
     isNested: message[12] as boolean,
+    organisation: parseText(message[14]),
   };
 }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -180,11 +180,13 @@
     clock,
     random,
     log,
-    observe: ({ limits }, origin) => {
+    observe: ({ limits, warnings }, origin) => {
       entry?.setLimits(limits);
+      metrics.recordWarnings(warnings.length);
       const isRead = origin === VersionOrigin.Platform;
       listener?.pushStatus(isRead ? StatusAudience.All : StatusAudience.DataCentre);
     },
+    recordRejection: () => metrics.recordRejection(),
     observePlatform: () => listener?.pushStatus(StatusAudience.DataCentre),
   });
   const getStatus = (): ReturnType<Configurations['getStatus']> => configurations.getStatus();
@@ -266,6 +268,7 @@
     isRunning: (callId) => gate.isRunning(callId),
     recordNestedFailure: (callId) => gate.recordNestedFailure(callId),
     recordCall: metrics.recordCall,
+    recordUnauthorised: metrics.recordUnauthorised,
     recordCancelled: metrics.recordCancelled,
   });
   const limits = configurations.get()?.limits;
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -2,6 +2,7 @@
 import type {
   CrashNoticeExchange,
   GateCall,
+  OrganisationRule,
   RelayConfiguration,
   RouteRule,
   Upstream,
@@ -49,6 +50,10 @@
   };
 }
 
+export function buildOrganisation(changes: Partial<OrganisationRule> = {}): OrganisationRule {
+  return { name: 'north', keys: ['key'], priority: 1, callsPerSecond: 10, burst: 10, ...changes };
+}
+
 export function buildUpstream(changes: Partial<Upstream> = {}): Upstream {
   return {
     id: 'u1',
--- a/packages/relay/src/__tests__/unit/CactusdealRelayConfigurations.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayConfigurations.test.ts
@@ -92,6 +92,7 @@
     random: () => 0,
     log: createSilentLog(),
     observe: (_, origin) => assert.equal(origin, VersionOrigin.Daemon),
+    recordRejection: () => {},
     observePlatform: () => {},
   });
 }
--- a/packages/relay/src/__tests__/unit/CactusdealRelayReaderRole.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayReaderRole.test.ts
@@ -23,6 +23,7 @@
   random: () => 0.5,
   log: createSilentLog(),
   observe: () => {},
+  recordRejection: () => {},
   observePlatform: () => {},
 };
 
