Follow a store that comes back from an old copy

Cause: a reader watched on from a revision of before the restore. The restored store assigns such revisions again, so that the watch got no error and missed what had changed; and members were listed and records checked every 30 s only.

Change: the store port gives the era with each response. Responses of a lower era count as failures.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -1,4 +1,5 @@
 import { type Clock, type Log, type Random, waitMs } from '@cactusdeal/shared';
+import { type Either, Left, Right } from 'purify-ts';
 import type { Members } from './CactusdealRelayMembers.js';
 import type { Peer } from './CactusdealRelayPeer.js';
 import {
@@ -8,6 +9,16 @@
   PlatformFaultKind,
 } from './CactusdealRelayPorts.js';
 import { buildRouteTable, type RouteTable } from './CactusdealRelayRoutes.js';
+import {
+  EraOrigin,
+  isPositionUsable,
+  checkReading,
+  NO_ERA,
+  ReadingVerdict,
+  shouldKeepPosition,
+  type StoreEra,
+  type WatchPosition,
+} from './CactusdealRelayStoreEra.js';
 import type { Member, RelayConfiguration } from './CactusdealRelayTypes.js';
 import {
   createVersionHistory,
@@ -42,6 +53,7 @@
 export interface ConfigurationsOptions {
   readonly self: Member;
   readonly source: ConfigurationSource;
+  readonly storeEra: StoreEra;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -107,7 +119,12 @@
 
   private requestedAtMs = -Infinity;
 
-  public constructor(private readonly options: ConfigurationsOptions) {}
+  /** Ends the watch in progress. */
+  private watchCut = new AbortController();
+
+  public constructor(private readonly options: ConfigurationsOptions) {
+    options.storeEra.subscribe(() => this.watchCut.abort());
+  }
 
   public getRoutes(): RouteTable | undefined {
     return this.routes;
@@ -121,6 +138,7 @@
     return {
       version: this.configuration?.version ?? 0,
       platformAgeMs: this.computePlatformAgeMs(),
+      storeEra: this.options.storeEra.get(),
     };
   }
 
@@ -196,68 +214,108 @@
 
   public async run(members: Members): Promise<void> {
     const { signal } = this.stop;
-    let revision: number | undefined;
+    let position: WatchPosition | undefined;
     let backoffMs = MIN_BACKOFF_MS;
     while (!signal.aborted) {
       const role = this.findRole(members);
       if (role === ReaderRole.None) {
-        revision = undefined;
+        position = undefined;
         await waitMs(ROLE_CHECK_MS, signal);
         continue;
       }
-      const reading = await this.readPlatform(revision, role, members);
+      if (position !== undefined && !isPositionUsable(position, this.options.storeEra.get()))
+        position = undefined;
+      const reading = await this.readPlatform(position, role, members);
       if (signal.aborted) return;
-      if (reading === 'role-changed') continue;
-      if (reading.isRight()) {
+      if (reading === 'cut') continue;
+      const held = position;
+      const next = reading.chain((found) => this.useReading(found, held));
+      if (next.isRight()) {
         backoffMs = MIN_BACKOFF_MS;
-        const { sources, revision: next } = reading.unsafeCoerce();
-        revision = next;
-        this.applyReading(sources);
+        position = next.unsafeCoerce();
         const pauseMs = role === ReaderRole.Standby ? STANDBY_COALESCE_MS : COALESCE_MS;
-        if (sources.length > 0) await waitMs(pauseMs, signal);
+        const { sources } = reading.unsafeCoerce();
+        if (sources.length > 0 && position !== undefined) await waitMs(pauseMs, signal);
         continue;
       }
-      revision = this.handleFault(reading.swap().unsafeCoerce(), revision);
+      position = this.handleFault(next.swap().unsafeCoerce(), position);
       await waitMs(backoffMs * (0.5 + this.options.random()), signal);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
     }
   }
 
-  /** Reads or watches; a standby stops its watch as soon as it is not the standby any more. */
+  /**
+   * Reads or watches. A watch ends as soon as another daemon tells of a restored platform, that of a
+   * standby also as soon as it is not the standby any more.
+   */
   private async readPlatform(
-    revision: number | undefined,
+    position: WatchPosition | undefined,
     role: ReaderRole,
     members: Members,
-  ): Promise<Awaited<ReturnType<ConfigurationSource['read']>> | 'role-changed'> {
+  ): Promise<Awaited<ReturnType<ConfigurationSource['read']>> | 'cut'> {
     const { source } = this.options;
-    if (revision === undefined) return source.read();
-    if (role === ReaderRole.Primary) return source.watch(revision, WATCH_MS, this.stop.signal);
-    const cut = new AbortController();
+    if (position === undefined) return source.read();
+    const { revision } = position;
+    this.watchCut = new AbortController();
+    const { signal: cut } = this.watchCut;
+    if (role === ReaderRole.Primary) {
+      const reading = await source.watch(revision, WATCH_MS, cut);
+      return cut.aborted ? 'cut' : reading;
+    }
     const timer = setInterval(() => {
-      if (this.stop.signal.aborted || this.findRole(members) !== role) cut.abort();
+      if (this.findRole(members) !== role) this.watchCut.abort();
     }, ROLE_CHECK_MS);
     this.isStandby = true;
-    const reading = await source.watch(revision, STANDBY_WATCH_MS, cut.signal);
+    const reading = await source.watch(revision, STANDBY_WATCH_MS, cut);
     this.isStandby = false;
     clearInterval(timer);
-    return cut.signal.aborted ? 'role-changed' : reading;
+    return cut.aborted ? 'cut' : reading;
   }
 
-  private applyReading(sources: ConfigurationReading['sources']): void {
+  /**
+   * Applies what was read, also from before a restore, as versions only rise. Returns the position from
+   * which to watch, undefined to read everything at once.
+   */
+  private useReading(
+    { sources, revision, era = NO_ERA }: ConfigurationReading,
+    position: WatchPosition | undefined,
+  ): Either<PlatformFault, WatchPosition | undefined> {
+    const { storeEra } = this.options;
+    const verdict = checkReading(era, storeEra.get(), position);
+    if (verdict === ReadingVerdict.Outdated) {
+      this.applySources(sources);
+      const message = `era ${era}, known: ${storeEra.get()}`;
+      return Left({ kind: PlatformFaultKind.Outdated, message });
+    }
+    storeEra.record(era, EraOrigin.Platform);
+    this.recordRead();
+    this.applySources(sources);
+    return Right(verdict === ReadingVerdict.Continue ? { revision, era } : undefined);
+  }
+
+  private applySources(sources: ConfigurationReading['sources']): void {
+    sources.forEach((source) => this.decodeAndApply(source, VersionOrigin.Platform));
+  }
+
+  private recordRead(): void {
     const isRegained = this.lastReadAtMs === undefined;
     this.lastReadAtMs = this.options.clock();
     if (isRegained) {
       this.options.log.info('platform-regained');
       this.options.observePlatform();
     }
-    sources.forEach((source) => this.decodeAndApply(source, VersionOrigin.Platform));
   }
 
   /**
-   * Logs a failed read; returns the revision to continue from, or undefined to read everything
+   * Logs a failed read; returns the position to continue from, or undefined to read everything
    * again.
    */
-  private handleFault(fault: PlatformFault, revision: number | undefined): number | undefined {
+  private handleFault(
+    fault: PlatformFault,
+    position: WatchPosition | undefined,
+  ): WatchPosition | undefined {
+    const { storeEra } = this.options;
+    storeEra.record(fault.era ?? NO_ERA, EraOrigin.Platform);
     if (fault.kind === PlatformFaultKind.Gone) return undefined;
     const isLost = this.lastReadAtMs !== undefined;
     this.lastReadAtMs = undefined;
@@ -265,7 +323,7 @@
       this.options.log.warn('platform-lost', { kind: fault.kind, message: fault.message });
       this.options.observePlatform();
     }
-    return revision;
+    return shouldKeepPosition(storeEra.get()) ? position : undefined;
   }
 
   private findRole(members: Members): ReaderRole {
@@ -289,5 +347,6 @@
 
   public close(): void {
     this.stop.abort();
+    this.watchCut.abort();
   }
 }
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -21,6 +21,11 @@
    * connected.
    */
   replace(listed: readonly Member[]): void;
+  /**
+   * Adds the daemons of a list that may lack some or name old addresses, as that of a platform restored
+   * from an old copy; a daemon with an open link is left as it is.
+   */
+  merge(listed: readonly Member[]): void;
   /** Finds a daemon with a link. */
   find(id: string): Peer | undefined;
   /** Lists the daemons with a link, open or being opened. */
@@ -85,6 +90,7 @@
       if (addKnown(member)) updateLinks();
     },
     replace,
+    merge,
     find: (id) => peers.get(id),
     list: () => [...peers.values()],
     listGates: ({ service, kind, estimateCapMs }, isLocal) => {
@@ -136,6 +142,13 @@
     updateLinks();
   }
 
+  function merge(listed: readonly Member[]): void {
+    listed
+      .filter(({ id }) => !isRecent(id) && peers.get(id)?.isConnected() !== true)
+      .forEach(addKnown);
+    updateLinks();
+  }
+
   /** Whether the daemon was added so recently that an old list may not hold it yet. */
   function isRecent(id: string): boolean {
     const addedAtMs = known.get(id)?.addedAtMs;
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -28,6 +28,8 @@
    * none or reading fails.
    */
   getPlatformAgeMs(): number;
+  /** Highest era of the store that this daemon knows; 0 if the store names none. */
+  getStoreEra(): number;
   /** Counts the fingerprints whose calls are refused because they crashed upstreams. */
   countQuarantined(): number;
   countLinks(): number;
@@ -90,6 +92,11 @@
     'Time since the last successful read from the platform, -1 if none or failing',
     sources.getPlatformAgeMs,
   );
+  addGauge(
+    'cactusdeal_store_era',
+    'Highest known era of the store, which rises when it is restored from a copy; 0 without eras',
+    sources.getStoreEra,
+  );
   addGauge(
     'cactusdeal_quarantined_calls',
     'Different calls that are refused because they crashed upstreams',
--- a/packages/relay/src/CactusdealRelayPorts.ts
+++ b/packages/relay/src/CactusdealRelayPorts.ts
@@ -12,10 +12,15 @@
    * What was requested no longer exists: the revision's history was discarded.
    */
   Gone: 'PlatformGone',
+  /** The response comes from before a restore of the platform that this daemon knows of. */
+  Outdated: 'PlatformOutdated',
 } as const;
 export type PlatformFaultKind = (typeof PlatformFaultKind)[keyof typeof PlatformFaultKind];
 
-export type PlatformFault = Failure<PlatformFaultKind>;
+export type PlatformFault = Failure<PlatformFaultKind> & {
+  /** Era of the response, if there was one that names it. */
+  readonly era?: number;
+};
 
 /** Result of reading the configuration from the platform. */
 export interface ConfigurationReading {
@@ -25,6 +30,15 @@
   readonly sources: readonly string[];
   /** Revision after which the next watch continues. */
   readonly revision: number;
+  /** Era in which the revision is valid; absent from a platform that names none. */
+  readonly era?: number;
+}
+
+/** Registered daemons. */
+export interface MemberListing {
+  readonly members: readonly Member[];
+  /** Era of the platform; `NO_ERA` from one that names none. */
+  readonly era: number;
 }
 
 /** Source of accepted configurations. */
@@ -43,12 +57,15 @@
 
 /** Registry through which daemons discover one another. */
 export interface MemberRegistry {
-  /** Writes a daemon's record, which lasts until it is removed. */
-  register(member: Member): Promise<Either<PlatformFault, void>>;
+  /**
+   * Writes a daemon's record, which lasts until it is removed or the platform is restored from an older
+   * copy; resolves to the era in which it was written.
+   */
+  register(member: Member): Promise<Either<PlatformFault, number>>;
   /** Removes the records of the daemons with these ids, at most `MAX_REMOVED_MEMBERS`. */
   remove(ids: readonly string[]): Promise<Either<PlatformFault, void>>;
-  /** Lists the registered daemons; the list may be some seconds old. */
-  list(): Promise<Either<PlatformFault, readonly Member[]>>;
+  /** Lists the registered daemons; the list may be some seconds old unless `isFresh`. */
+  list(isFresh: boolean): Promise<Either<PlatformFault, MemberListing>>;
 }
 
 /** Most records that are removed at once. */
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,6 +1,7 @@
 import { type CrashNotice, parseCrashNotice } from '@cactusdeal/quarantine';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
 import { parseMember } from './CactusdealRelayMemberRecord.js';
+import { NO_ERA, parseEra } from './CactusdealRelayStoreEra.js';
 import type {
   AttemptEnd,
   GateCall,
@@ -20,6 +21,8 @@
    * none or reading fails.
    */
   readonly platformAgeMs: number;
+  /** Highest era of the store that it knows; absent from a daemon that does not name it. */
+  readonly storeEra?: number;
 }
 
 /** The first message of a daemon on a link. */
@@ -161,30 +164,39 @@
 /** Encodes who this daemon is, with the time of sending by its clock. */
 export function toHelloMessage(member: Member, status: Status, sentAtMs: number): Message {
   const { id, dataCentre, service, address } = member;
-  const { version, platformAgeMs } = status;
+  const { version, platformAgeMs, storeEra = NO_ERA } = status;
   const time = Math.round(sentAtMs);
-  return [MessageKind.Hello, id, dataCentre, address, version, platformAgeMs, service, time];
+  const statusFields = [version, platformAgeMs] as const;
+  return [MessageKind.Hello, id, dataCentre, address, ...statusFields, service, time, storeEra];
 }
 
 /** @throws RangeError if the message names no daemon that can be linked to. */
 export function parseHello(message: Message): Hello {
-  const [, id, dataCentre, address, version, platformAgeMs, service, time] = message;
+  const [, id, dataCentre, address, version, platformAgeMs, service, time, era] = message;
   const member = parseMember({ id, dataCentre, address, service });
   if (member === undefined)
     throw new RangeError(`hello of no valid daemon: id ${String(id)}, address ${String(address)}`);
   return {
     member,
-    status: { version: version as number, platformAgeMs: platformAgeMs as number },
+    status: {
+      version: version as number,
+      platformAgeMs: platformAgeMs as number,
+      storeEra: parseEra(era),
+    },
     sentAtMs: parseTime(time),
   };
 }
 
-export function toStatusMessage({ version, platformAgeMs }: Status): Message {
-  return [MessageKind.Status, version, Math.round(platformAgeMs)];
+export function toStatusMessage({ version, platformAgeMs, storeEra = NO_ERA }: Status): Message {
+  return [MessageKind.Status, version, Math.round(platformAgeMs), storeEra];
 }
 
 export function parseStatus(message: Message): Status {
-  return { version: message[1] as number, platformAgeMs: message[2] as number };
+  return {
+    version: message[1] as number,
+    platformAgeMs: message[2] as number,
+    storeEra: parseEra(message[3]),
+  };
 }
 
 /** Encodes that the upstream beside the daemon `memberId` is leaving or has left. */
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -33,6 +33,7 @@
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
 import { createRouter } from './CactusdealRelayRouter.js';
+import { createStoreEra, EraOrigin, NO_ERA } from './CactusdealRelayStoreEra.js';
 import type {
   CrashNoticeExchange,
   DepartureExchange,
@@ -174,9 +175,15 @@
       if (departures.record(self.id, upstream)) listener?.pushDeparture();
     },
   });
+  const storeEra = createStoreEra(log);
+  storeEra.subscribe((origin) => {
+    const isRead = origin === EraOrigin.Platform;
+    listener?.pushStatus(isRead ? StatusAudience.All : StatusAudience.DataCentre);
+  });
   const configurations = createConfigurations({
     self,
     source,
+    storeEra,
     clock,
     random,
     log,
@@ -207,7 +214,10 @@
     ...crashNoticeExchange,
     ...createKnownLimits(),
     getStatus,
-    receiveStatus: (peer, status) => configurations.receiveStatus(peer, status),
+    receiveStatus: (peer, status) => {
+      storeEra.record(status.storeEra ?? NO_ERA, EraOrigin.Daemon);
+      configurations.receiveStatus(peer, status);
+    },
     receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
     checkPause: () => pauseWatch.check(),
     clock,
@@ -227,7 +237,7 @@
     random,
     log,
   });
-  const registration = createRegistration({ self, registry, clock, random, log });
+  const registration = createRegistration({ self, registry, storeEra, clock, random, log });
   let listener: LinkListener | undefined;
   let entry: Entry | undefined;
   const metrics = createRelayMetrics({
@@ -235,6 +245,7 @@
     getLimit: () => gate.getLimit()?.callsPerSecond,
     getVersion: () => getStatus().version,
     getPlatformAgeMs: () => getStatus().platformAgeMs,
+    getStoreEra: () => storeEra.get(),
     countQuarantined: () => quarantine.list().length,
     countLinks: () => members.countConnected(),
     countLostLines: options.countLostLines,
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -9,6 +9,7 @@
 import { Left, Right } from 'purify-ts';
 import { createChunkPacer, parseAddress, waitMs } from '@cactusdeal/shared';
 import type { ConfigurationSource, MemberRegistry } from '../CactusdealRelayPorts.js';
+import { NO_ERA } from '../CactusdealRelayStoreEra.js';
 import type { HeaderNames, Member, RelayConfiguration } from '../CactusdealRelayTypes.js';
 import { type Relay, type RelayOptions, startRelay } from '../CactusdealRelayWiring.js';
 
@@ -271,13 +272,13 @@
   return {
     register: (member) => {
       members.push(member);
-      return Promise.resolve(Right(undefined));
+      return Promise.resolve(Right(NO_ERA));
     },
     remove: () => {
       observeRemoval();
       return new Promise(() => {});
     },
-    list: () => Promise.resolve(Right([...members])),
+    list: () => Promise.resolve(Right({ members: [...members], era: NO_ERA })),
   };
 }
 
--- a/packages/relay/src/__tests__/unit/CactusdealRelayConfigurations.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayConfigurations.test.ts
@@ -9,6 +9,7 @@
   VersionOrigin,
 } from '../../CactusdealRelayConfigurations.js';
 import type { Peer } from '../../CactusdealRelayPeer.js';
+import { createStoreEra } from '../../CactusdealRelayStoreEra.js';
 import { buildConfiguration, buildRule } from '../CactusdealRelayFixtures.js';
 import { waitUntil } from '../CactusdealRelayTestCluster.js';
 
@@ -90,6 +91,7 @@
     },
     clock: getMonotonicMs,
     random: () => 0,
+    storeEra: createStoreEra(createSilentLog()),
     log: createSilentLog(),
     observe: (_, origin) => assert.equal(origin, VersionOrigin.Daemon),
     observePlatform: () => {},
--- a/packages/relay/src/__tests__/unit/CactusdealRelayReaderRole.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayReaderRole.test.ts
@@ -5,6 +5,7 @@
 import { createConfigurations } from '../../CactusdealRelayConfigurations.js';
 import type { Members } from '../../CactusdealRelayMembers.js';
 import type { Peer } from '../../CactusdealRelayPeer.js';
+import { createStoreEra } from '../../CactusdealRelayStoreEra.js';
 import { type ConfigurationSource, PlatformFaultKind } from '../../CactusdealRelayPorts.js';
 import { waitUntil } from '../CactusdealRelayTestCluster.js';
 
@@ -21,6 +22,7 @@
   self: { id: 'd5', dataCentre: DATA_CENTRE, service: 'records', address: '127.0.0.1:1' },
   clock: getMonotonicMs,
   random: () => 0.5,
+  storeEra: createStoreEra(createSilentLog()),
   log: createSilentLog(),
   observe: () => {},
   observePlatform: () => {},
--- a/packages/relay/src/__tests__/unit/CactusdealRelayRegistration.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRegistration.test.ts
@@ -5,6 +5,7 @@
 import type { Members } from '../../CactusdealRelayMembers.js';
 import type { MemberRegistry } from '../../CactusdealRelayPorts.js';
 import { createRegistration } from '../../CactusdealRelayRegistration.js';
+import { createStoreEra, NO_ERA } from '../../CactusdealRelayStoreEra.js';
 import type { Member } from '../../CactusdealRelayTypes.js';
 import { waitUntil } from '../CactusdealRelayTestCluster.js';
 
@@ -86,17 +87,24 @@
   const registry: MemberRegistry = {
     register: ({ id }) => {
       calls.push(`write ${id}`);
-      return Promise.resolve(Right(undefined));
+      return Promise.resolve(Right(NO_ERA));
     },
     remove: (ids) => {
       calls.push(`remove ${ids.join(' ')}`);
       return Promise.resolve(Right(undefined));
     },
-    list: () => Promise.resolve(Right(list())),
+    list: () => Promise.resolve(Right({ members: list(), era: NO_ERA })),
   };
   const members = { replace: () => {}, listLost: () => lost } as unknown as Members;
   const log = createSilentLog();
-  const registration = createRegistration({ self, registry, clock, random: () => 0.5, log });
+  const registration = createRegistration({
+    self,
+    registry,
+    storeEra: createStoreEra(log),
+    clock,
+    random: () => 0.5,
+    log,
+  });
   void registration.run(members);
   return { close: registration.close, updateNow: () => registration.update(members) };
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -3,6 +3,7 @@
 export {
   type ConfigurationReading,
   type ConfigurationSource,
+  type MemberListing,
   type MemberRegistry,
   type PlatformFault,
   PlatformFaultKind,
@@ -18,4 +19,5 @@
   type RouteRule,
   type Upstream,
 } from './CactusdealRelayTypes.js';
+export { NO_ERA, parseEra } from './CactusdealRelayStoreEra.js';
 export { type Relay, type RelayOptions, startRelay } from './CactusdealRelayWiring.js';
