Order calls of one rank by how much their organisations use of the upstream

Cause: a gate queued calls of one rank by their targets alone, so that an organisation that sends seven times its usual load took the slots of the others.

Up to its share of the slots (by callsPerSecond, from the gate's own configuration), or one call, an organisation is in band 0; each further band is twice as much. CactusdealRelayFairOrder sorts a queue by rank, band and target; the same order decides who starts, who is admitted and who is evicted. Slots that others started in lower bands count as unavailable on arrival, as those of more urgent calls do. An entry remembers that a gate refused a call by organisation and rank too, so that the refusal of one organisation does not keep another from asking. Calls that start ahead of earlier ones are counted, and refusals at a gate name the organisation.

--- a/packages/relay/src/CactusdealRelayAdmission.ts
+++ b/packages/relay/src/CactusdealRelayAdmission.ts
@@ -1,17 +1,15 @@
+import { type FairRequest, listInFairOrder } from './CactusdealRelayFairOrder.js';
+import { createOrganisationUsage } from './CactusdealRelayOrganisationUsage.js';
 import { createRateLimit, type RateLimit } from './CactusdealRelayRateLimit.js';
 import type { ServiceTimes } from './CactusdealRelayServiceTimes.js';
 import { createSlotUsage } from './CactusdealRelaySlotUsage.js';
 
 /** What admission control needs to know about a call. Times are on the gate's monotonic clock. */
-export interface AdmissionRequest {
+export interface AdmissionRequest extends FairRequest {
   /** Calls of one kind are assumed to have similar service times. */
   readonly kind: string;
-  /** 0 is the most urgent. */
-  readonly priority: number;
   /** Upper bound of the service-time estimate while its kind has no samples, in milliseconds. */
   readonly estimateCapMs: number;
-  /** Latency target: an answer after this time is worth less to the caller. */
-  readonly targetAtMs: number;
   /** Time at which the caller stops waiting. */
   readonly deadlineAtMs: number;
   /** The call is queued only if its answer is expected by this time. */
@@ -30,7 +28,8 @@
  *
  * Load pattern: overload that lasts longer than the latency target. An unbounded queue would answer
  * every call late, so a call is refused on arrival if the expected queueing delay and service time
- * exceed its limit. Queued calls start by priority, then by earliest target. Filling the queue until
+ * exceed its limit. Queued calls start by priority, then by earliest target; organisations that use
+ * more of the slots than their share go after others of their priority. Filling the queue until
  * the mean service time just fits would make every second call late, so the estimate on arrival
  * includes a safety margin.
  */
@@ -74,12 +73,29 @@
 /** Least fraction of the slots that the wait estimate assumes to be available to any priority. */
 const MIN_CAPACITY_FRACTION = 0.1;
 
+/** What admission control needs to know about organisations. */
+export interface AdmissionOrganisations {
+  /** Share of the organisation in the slots by its weight; 0 to 1. */
+  readonly getShare: (organisation: string) => number;
+  /** Called when a call starts before one with an earlier target, whose organisation has used more. */
+  readonly recordReordered: () => void;
+}
+
+const NO_ORGANISATIONS: AdmissionOrganisations = { getShare: () => 1, recordReordered: () => {} };
+
 export function createAdmission<T extends AdmissionRequest>(
   serviceTimes: ServiceTimes,
   rateLimit: RateLimit = createRateLimit(),
+  organisations: AdmissionOrganisations = NO_ORGANISATIONS,
 ): Admission<T> {
   const slotUsage = createSlotUsage();
-  let waiting: T[] = [];
+  const organisationUsage = createOrganisationUsage({
+    getShare: organisations.getShare,
+    getCapacity: () => capacity,
+    getMeanServiceMs: () => serviceTimes.getMean(),
+  });
+  let waiting: readonly T[] = [];
+  let lastOrder: { queue: readonly T[]; order: readonly T[]; atMs: number } | undefined;
   let running = 0;
   let capacity = 0;
   return {
@@ -90,13 +106,13 @@
     takeNext,
     evictLate,
     remove: (call) => {
-      const index = waiting.indexOf(call);
-      if (index >= 0) waiting.splice(index, 1);
-      return index >= 0;
+      const isQueued = waiting.includes(call);
+      if (isQueued) setWaiting(waiting.filter((other) => other !== call));
+      return isQueued;
     },
     clear: () => {
       const all = waiting;
-      waiting = [];
+      setWaiting([]);
       return all;
     },
     setCapacity: (next) => {
@@ -111,19 +127,27 @@
       recordStart(call, nowMs);
       return { type: 'start' };
     }
-    const waitMs = computeWaitMs(call, nowMs);
+    const queue = listWith(call);
+    const waitMs = computeWaitMs(call, queue, nowMs);
     const expectedEndMs = nowMs + waitMs + computeReservedMs(call);
     if (capacity === 0 || expectedEndMs > call.latestAnswerAtMs) {
+      lastOrder = undefined;
       const excessMs = expectedEndMs - call.latestAnswerAtMs;
       return {
         type: 'refuse',
         retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.min(excessMs, waitMs)),
       };
     }
-    addWaiting(call);
+    setWaiting(queue);
     return { type: 'wait' };
   }
 
+  /** Replaces the queue. Its order is dropped, as it would keep calls that have ended. */
+  function setWaiting(next: readonly T[]): void {
+    waiting = next;
+    if (lastOrder?.queue !== next) lastOrder = undefined;
+  }
+
   function hasRoom(nowMs: number): boolean {
     return running < capacity && rateLimit.computeWaitMs(0, nowMs) === 0;
   }
@@ -142,16 +166,30 @@
   function recordStart(call: T, nowMs: number): void {
     running += 1;
     rateLimit.take(nowMs);
-    slotUsage.record(call.priority, computeServiceMs(call), nowMs);
+    const { priority, organisation } = call;
+    const serviceMs = computeServiceMs(call);
+    slotUsage.record(priority, serviceMs, nowMs);
+    if (organisation !== undefined)
+      organisationUsage.record(organisation, priority, serviceMs, nowMs);
+  }
+
+  /** Lists the calls of a queue in the order in which they start. */
+  function listInOrder(queue: readonly T[], nowMs: number): readonly T[] {
+    if (lastOrder?.queue === queue && lastOrder.atMs === nowMs) return lastOrder.order;
+    const computeBand = (organisation: string, queuedMs: number): number =>
+      organisationUsage.computeBand(organisation, queuedMs, nowMs);
+    const order = listInFairOrder(queue, computeBand, computeServiceMs);
+    lastOrder = { queue, order, atMs: nowMs };
+    return order;
   }
 
   /**
    * Expected queueing delay, in milliseconds. More urgent calls that arrive later overtake this one,
    * so the slots that such calls have recently used count as unavailable.
    */
-  function computeWaitMs(call: T, nowMs: number): number {
-    const ahead = waiting.filter((other) => compareUrgency(other, call) <= 0);
-    const urgentSlots = slotUsage.countMoreUrgentSlots(call.priority, nowMs);
+  function computeWaitMs(call: T, queue: readonly T[], nowMs: number): number {
+    const ahead = listAhead(call, queue, nowMs);
+    const urgentSlots = countOvertakingSlots(call, ahead, nowMs);
     const rateWaitMs = computeRateWaitMs(ahead.length, urgentSlots, nowMs);
     const isHeldByRate = rateWaitMs > 0 && running + waiting.length < capacity;
     if (isHeldByRate) return rateWaitMs;
@@ -163,6 +201,24 @@
     return Math.max(rateWaitMs, queuedAheadMs / slots);
   }
 
+  /** Lists the calls of a queue with this one that start before it if nothing changes. */
+  function listAhead(call: T, queue: readonly T[], nowMs: number): readonly T[] {
+    const order = listInOrder(queue, nowMs);
+    return order.slice(0, order.indexOf(call));
+  }
+
+  /** Estimates the slots in use by calls of which later ones overtake this one. */
+  function countOvertakingSlots(call: T, ahead: readonly T[], nowMs: number): number {
+    const { priority, organisation } = call;
+    const urgentSlots = slotUsage.countMoreUrgentSlots(priority, nowMs);
+    if (organisation === undefined) return urgentSlots;
+    const queuedMs = ahead
+      .filter((other) => other.organisation === organisation)
+      .reduce((sum, other) => sum + computeServiceMs(other), 0);
+    const band = organisationUsage.computeBand(organisation, queuedMs, nowMs);
+    return urgentSlots + organisationUsage.countLowerBandSlots(organisation, priority, band, nowMs);
+  }
+
   /** Expected delay by the rate limit, of which more urgent calls take what their slots amount to. */
   function computeRateWaitMs(callsAhead: number, urgentSlots: number, nowMs: number): number {
     const waitMs = rateLimit.computeWaitMs(callsAhead, nowMs);
@@ -170,20 +226,28 @@
     return waitMs / Math.max(MIN_CAPACITY_FRACTION, availableFraction);
   }
 
-  function addWaiting(call: T): void {
+  /** The queued calls with this one, by priority, then by earliest target. */
+  function listWith(call: T): T[] {
     let index = waiting.length;
     while (index > 0 && compareUrgency(call, waiting[index - 1] as T) < 0) index -= 1;
-    waiting.splice(index, 0, call);
+    return [...waiting.slice(0, index), call, ...waiting.slice(index)];
   }
 
   function takeNext(nowMs: number): T | undefined {
     if (waiting.length === 0 || !hasRoom(nowMs)) return undefined;
-    const firstReachable = waiting.findIndex((call) => isTargetReachable(call, nowMs));
-    const [call] = waiting.splice(Math.max(0, firstReachable), 1);
-    if (call !== undefined) recordStart(call, nowMs);
+    const order = listInOrder(waiting, nowMs);
+    const call = findFirst(order, nowMs);
+    if (order !== waiting && call !== findFirst(waiting, nowMs)) organisations.recordReordered();
+    setWaiting(waiting.filter((other) => other !== call));
+    recordStart(call, nowMs);
     return call;
   }
 
+  /** The first call that can still meet its target, or else the first of all. */
+  function findFirst(order: readonly T[], nowMs: number): T {
+    return order.find((call) => isTargetReachable(call, nowMs)) ?? (order[0] as T);
+  }
+
   function isTargetReachable(call: T, nowMs: number): boolean {
     return nowMs + computeServiceMs(call) * MIN_SERVICE_FRACTION <= call.targetAtMs;
   }
@@ -197,20 +261,19 @@
     const late: T[] = [];
     let queuedAheadMs = running < capacity ? 0 : serviceTimes.getMean();
     let callsAhead = 0;
-    waiting = waiting.filter((call) => {
+    listInOrder(waiting, nowMs).forEach((call) => {
       const serviceMs = computeServiceMs(call);
       const waitMs = Math.max(
         queuedAheadMs / Math.max(1, capacity),
         rateLimit.computeWaitMs(callsAhead, nowMs),
       );
       const expectedEndMs = nowMs + waitMs + serviceMs * EVICTION_SERVICE_FRACTION;
-      const isKept = expectedEndMs <= call.latestAnswerAtMs;
-      if (isKept) {
+      if (expectedEndMs <= call.latestAnswerAtMs) {
         queuedAheadMs += serviceMs;
         callsAhead += 1;
       } else late.push(call);
-      return isKept;
     });
+    if (late.length > 0) setWaiting(waiting.filter((call) => !late.includes(call)));
     return late;
   }
 }
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -1,6 +1,10 @@
 import { type CrashWatch, createCrashWatch, type Quarantine } from '@cactusdeal/quarantine';
 import type { ChunkPacer, Clock, Log } from '@cactusdeal/shared';
-import { type Admission, createAdmission } from './CactusdealRelayAdmission.js';
+import {
+  type Admission,
+  type AdmissionOrganisations,
+  createAdmission,
+} from './CactusdealRelayAdmission.js';
 import {
   hasRunWell,
   isShedAnswer,
@@ -62,7 +66,7 @@
   close(): void;
 }
 
-export interface GateOptions {
+export interface GateOptions extends AdmissionOrganisations {
   /** `IP:PORT` of the upstream. */
   readonly address: string;
   /** Service of the upstream by the settings; used until a heartbeat names it. */
@@ -135,7 +139,7 @@
   public constructor(private readonly options: GateOptions) {
     const { address, names, clock, pacer, log } = options;
     this.limit = createUpstreamLimit({ clock, log, observe: options.observe });
-    this.admission = createAdmission<TrackedCall>(this.serviceTimes, this.limit.rateLimit);
+    this.admission = createAdmission<TrackedCall>(this.serviceTimes, this.limit.rateLimit, options);
     this.pool = createUpstreamPool({ address, idField: names.callId, clock, pacer });
     this.crashWatch = createCrashWatch({
       recordCrash: (fingerprint, inFlight) => {
@@ -189,6 +193,7 @@
     log.info('gate-refused', {
       call: findField(tracked.call.headers, names.callId),
       reason,
+      organisation: tracked.organisation,
       upstream: this.upstream?.id,
       state: this.upstream?.state ?? 'unknown',
       capacity: this.upstream?.capacity,
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -46,6 +46,8 @@
    * milliseconds.
    */
   readonly estimateCapMs: number;
+  /** What the call has in common with those that a busy gate refuses alike. */
+  readonly refusalKey: string;
 }
 
 export interface MembersOptions extends DepartureExchange, LimitExchange, CrashNoticeExchange {
@@ -87,11 +89,11 @@
     replace,
     find: (id) => peers.get(id),
     list: () => [...peers.values()],
-    listGates: ({ service, kind, estimateCapMs }, isLocal) => {
+    listGates: ({ service, kind, estimateCapMs, refusalKey }, isLocal) => {
       const views: GateView[] = [];
       peers.forEach((peer) => {
         if (peer.getService() !== service || isLocalPeer(peer) !== isLocal) return;
-        const view = peer.getView(kind, estimateCapMs);
+        const view = peer.getView(kind, estimateCapMs, refusalKey);
         if (view !== undefined) views.push(view);
       });
       return views;
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -14,6 +14,8 @@
   recordCancelled(stage: CallStage): void;
   /** Counts a call that got 401. */
   recordUnauthorised(): void;
+  /** Counts a call that started before one whose organisation had used more of the upstream's slots. */
+  recordReordered(): void;
   /** Counts a version of the configuration that could not be read. */
   recordRejection(): void;
   /** Counts what this release does not know in a version that came into force. */
@@ -76,6 +78,11 @@
     help: 'Calls that got 401, as they had no API key of an organisation',
     registers,
   });
+  const reorderedCalls = new Counter({
+    name: 'cactusdeal_reordered_calls_total',
+    help: 'Calls that started before an earlier one whose organisation had used more of the slots',
+    registers,
+  });
   const rejections = new Counter({
     name: 'cactusdeal_version_rejections_total',
     help: 'Versions of the configuration that could not be read',
@@ -126,6 +133,7 @@
     recordInterruption: () => interruptions.inc(),
     recordCancelled: (stage) => cancelledCalls.inc({ stage }),
     recordUnauthorised: () => unauthorisedCalls.inc(),
+    recordReordered: () => reorderedCalls.inc(),
     recordRejection: () => rejections.inc(),
     recordWarnings: (count) => warnings.inc(count),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
--- a/packages/relay/src/CactusdealRelayOrganisations.ts
+++ b/packages/relay/src/CactusdealRelayOrganisations.ts
@@ -1,10 +1,12 @@
 import { findField } from './CactusdealRelayHeaders.js';
-import type { OrganisationRule, RouteRule } from './CactusdealRelayTypes.js';
+import type { GateCall, OrganisationRule, RouteRule } from './CactusdealRelayTypes.js';
 
 /** The organisations of one version of the configuration, by the API keys of their callers. */
 export interface OrganisationTable {
   /** Finds the organisation that owns the key; undefined if none does. */
   findByKey(key: string): OrganisationRule | undefined;
+  /** Share of the organisation in an upstream's slots by its weight, its calls per second; 0 to 1. */
+  getShare(name: string): number;
 }
 
 /** Whether a call may be routed, and for which organisation; undefined if it has none. */
@@ -27,7 +29,25 @@
   organisations.forEach((organisation) => {
     organisation.keys.forEach((key) => organisationsByKey.set(key, organisation));
   });
-  return { findByKey: (key) => organisationsByKey.get(key) };
+  const shares = computeShares(organisations);
+  return {
+    findByKey: (key) => organisationsByKey.get(key),
+    // Another daemon may hold a version with an organisation that this one does not know.
+    getShare: (name) => shares.get(name) ?? 1 / organisations.length,
+  };
+}
+
+/** Computes the shares by name; an organisation without a limit weighs as much as the mean of the others. */
+function computeShares(organisations: readonly OrganisationRule[]): ReadonlyMap<string, number> {
+  const rates = organisations
+    .map(({ callsPerSecond }) => callsPerSecond)
+    .filter((rate) => rate > 0);
+  const limitedTotal = rates.reduce((sum, rate) => sum + rate, 0);
+  const meanRate = rates.length === 0 ? 1 : limitedTotal / rates.length;
+  const total = meanRate * organisations.length;
+  return new Map(
+    organisations.map(({ name, callsPerSecond }) => [name, (callsPerSecond || meanRate) / total]),
+  );
 }
 
 /**
@@ -89,3 +109,15 @@
 export function isMostUrgentRank(rank: number): boolean {
   return rank === 0 || rank === RANK_STEP;
 }
+
+/**
+ * Formats what calls have in common that a busy gate refuses alike: their kind and, as a gate may refuse an
+ * organisation that has used much of its upstream and admit others, their organisation and rank.
+ */
+export function formatRefusalKey({
+  kind,
+  priority,
+  organisation,
+}: Pick<GateCall, 'kind' | 'priority' | 'organisation'>): string {
+  return organisation === undefined ? kind : `${kind} ${priority} ${organisation}`;
+}
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -9,6 +9,7 @@
 import type { GateView, Refusal } from './CactusdealRelayBalancer.js';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
 import { createGateLatency, type GateLatency } from './CactusdealRelayGateLatency.js';
+import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
 import {
   type Attempt,
@@ -55,9 +56,9 @@
   isIdle(): boolean;
   /**
    * The gate as known here; undefined until a report arrives. `estimateCapMs` bounds the service
-   * time estimated for a kind without samples.
+   * time estimated for a kind without samples. `refusalKey` is that of `formatRefusalKey`, by default the kind.
    */
-  getView(kind: string, estimateCapMs: number): GateView | undefined;
+  getView(kind: string, estimateCapMs: number, refusalKey?: string): GateView | undefined;
   /** Service of the gate; undefined until a report arrives. */
   getService(): string | undefined;
   /**
@@ -102,6 +103,8 @@
 /** A call that was sent over the link and has not ended. */
 interface PendingCall {
   readonly kind: string;
+  /** Calls with the same key are refused alike. */
+  readonly refusalKey: string;
   readonly idempotent: boolean;
   readonly targetMs: number;
   readonly sentAtMs: number;
@@ -136,6 +139,9 @@
  */
 const IDLE_LINK_TIMEOUT_MS = 25_000;
 
+/** Refusals kept; they count for a moment only. */
+const MAX_REFUSALS = 200;
+
 /** Creates a peer, which connects and reconnects until it is closed. */
 export function createPeer(options: PeerOptions): Peer {
   return new OutgoingPeer(options);
@@ -156,7 +162,7 @@
 
   private readonly latency: GateLatency;
 
-  /** The gate's last refusal because it was busy, by kind of call. */
+  /** The gate's last refusal because it was busy, by `formatRefusalKey`. */
   private readonly refusals = new Map<string, Refusal>();
 
   private status: (Status & { readonly atMs: number }) | undefined;
@@ -202,13 +208,13 @@
     return this.isConnected() ? this.report?.service : undefined;
   }
 
-  public getView(kind: string, estimateCapMs: number): GateView | undefined {
+  public getView(kind: string, estimateCapMs: number, refusalKey = kind): GateView | undefined {
     if (!this.isConnected() || this.report === undefined) return undefined;
     const { report, reportedAtMs, unreportedCalls } = this;
     const avoidedUntilMs = this.isSuspect() ? Infinity : this.avoidedUntilMs;
     const serviceMs = this.latency.getServiceMs(kind) ?? Math.min(report.serviceMs, estimateCapMs);
     const overheadMs = this.latency.getOverheadMs();
-    const refusal = this.refusals.get(kind);
+    const refusal = this.refusals.get(refusalKey);
     return {
       memberId: this.member.id,
       isOwn: false,
@@ -346,8 +352,9 @@
       const elapsedMs = (pending.answeredAtMs ?? this.options.clock()) - pending.sentAtMs;
       this.latency.recordAnswer(pending.kind, elapsedMs, end.serviceMs, end.queuedMs);
     } else if (end.type === 'not-run' && end.reason === NotRunReason.Busy) {
-      const { kind, targetMs } = pending;
-      this.refusals.set(kind, { atMs: this.options.clock(), targetMs });
+      const { refusalKey, targetMs } = pending;
+      if (this.refusals.size >= MAX_REFUSALS) this.refusals.clear();
+      this.refusals.set(refusalKey, { atMs: this.options.clock(), targetMs });
     }
     pending.settle(end);
   }
@@ -374,6 +381,7 @@
       const { kind, idempotent, targetMs } = call;
       this.pendingCalls.set(id, {
         kind,
+        refusalKey: formatRefusalKey(call),
         idempotent,
         targetMs,
         sentAtMs: clock(),
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -4,6 +4,7 @@
 import { computeCallFingerprint } from './CactusdealRelayFingerprint.js';
 import type { Gate } from './CactusdealRelayGate.js';
 import type { GateQuery, Members } from './CactusdealRelayMembers.js';
+import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import type { RetryBudget } from './CactusdealRelayRetryBudget.js';
 import { computeEstimateCapMs } from './CactusdealRelayServiceTimes.js';
 import {
@@ -160,7 +161,9 @@
     const { members, random } = this.options;
     const { service, kind, priority } = this.routed.call;
     const targetMs = this.routed.targetAtMs - nowMs;
-    const query = { service, kind, estimateCapMs: computeEstimateCapMs(targetMs) };
+    const estimateCapMs = computeEstimateCapMs(targetMs);
+    const refusalKey = formatRefusalKey(this.routed.call);
+    const query = { service, kind, estimateCapMs, refusalKey };
     return chooseGate({
       listGates: (isLocal) => {
         const own = isLocal ? this.buildOwnView(query, nowMs) : undefined;
--- a/packages/relay/src/CactusdealRelayTrackedCall.ts
+++ b/packages/relay/src/CactusdealRelayTrackedCall.ts
@@ -31,6 +31,7 @@
     fingerprint: computeCallFingerprint(call, names),
     kind: call.kind,
     priority: call.priority,
+    organisation: call.organisation,
     estimateCapMs: computeEstimateCapMs(call.targetMs),
     targetAtMs: nowMs + call.targetMs,
     deadlineAtMs: nowMs + call.remainingMs,
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -150,6 +150,8 @@
     log,
     observe: () => listener?.pushReport(),
     receiveLeaving: (upstream) => upstreamTracker.receiveLeaving(upstream),
+    getShare: (name) => configurations.getRoutes()?.organisations?.getShare(name) ?? 1,
+    recordReordered: () => metrics.recordReordered(),
     recordSent: (isNested) => metrics.recordSent(isNested),
     quarantine,
     recordInterruption: () => metrics.recordInterruption(),
