Keep quotas of organisations over all daemons

Cause: an organisation's quota is a sum over all entries, while most organisations send less than one call a second to each entry, so that no entry can decide alone. Change: entries report counts to the lowest reachable daemon of their data centre every 250 ms, which keeps a token bucket for each organisation, exchanges sums with the other data centres and tells entries which organisations are throttled. Hosts that are not heard count as using their share. The entry refuses calls over the quota with 429 and retry-after. Nothing is sent without a quota in the configuration.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -19,6 +19,7 @@
 } from './CactusdealRelayCallerRequest.js';
 import { findField } from './CactusdealRelayHeaders.js';
 import { checkApiKey, computeRank } from './CactusdealRelayOrganisations.js';
+import type { QuotaLimiter } from './CactusdealRelayQuotas.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
 import {
   type CallIdentity,
@@ -73,6 +74,8 @@
    * failed.
    */
   readonly recordNestedFailure: (callId: string) => void;
+  readonly quota: QuotaLimiter;
+  readonly recordOverQuota: (organisation: string) => void;
   readonly recordCall: (record: CallRecord) => void;
   readonly recordCancelled: (stage: CallStage) => void;
   readonly recordUnauthorised: () => void;
@@ -252,7 +255,7 @@
 
   /**
    * Authenticates a call and finds its route; responds and returns undefined if it is refused. The quota of
-   * an organisation is to be checked last, as only calls that go on use it.
+   * an organisation is checked last, as only calls that go on use it.
    */
   private admit(
     received: ReceivedRequest,
@@ -277,6 +280,7 @@
       return undefined;
     }
     const { organisation } = authentication;
+    if (!this.checkQuota(received, organisation)) return undefined;
     return {
       received,
       identity: { ...identity, organisation: organisation?.name },
@@ -291,6 +295,8 @@
     const { response, id, startedAtMs } = received;
     const firstAtMs = this.unservedCalls.findFirstAtMs(identity, startedAtMs);
     const end = await this.routeCall(admitted, firstAtMs);
+    if (end.type === 'not-run' && admitted.organisation !== undefined)
+      this.options.quota.release(admitted.organisation.name);
     if (!isSuccess(end)) this.recordFailure(received, identity, firstAtMs);
     this.responder.finish(response, id, end);
     const outcome = end.type === 'answered' ? String(end.answer.status) : end.reason;
@@ -298,6 +304,19 @@
     this.options.recordCall({ kind: route.kind, outcome, durationMs });
   }
 
+  /** Whether the call is within the quota of its organisation; responds if it is not. */
+  private checkQuota(
+    { response, id }: ReceivedRequest,
+    organisation: OrganisationRule | undefined,
+  ): boolean {
+    if (organisation === undefined) return true;
+    const { isAdmitted, retryAfterMs } = this.options.quota.admit(organisation);
+    if (isAdmitted) return true;
+    this.options.recordOverQuota(organisation.name);
+    this.responder.refuseOverQuota(response, id, retryAfterMs);
+    return false;
+  }
+
   private answerBodyFailure(
     response: ServerResponse,
     id: string | undefined,
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -16,6 +16,7 @@
 import type { Gate } from './CactusdealRelayGate.js';
 import { createHeldCalls, type HeldCalls } from './CactusdealRelayHeldCalls.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
+import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -77,6 +78,8 @@
   /** Room for unfinished messages, shared with all other links. */
   readonly linkBytes: ByteBudget;
   readonly recordCancelled: (stage: CallStage) => void;
+  /** Handles a message of the quotas; undefined if this daemon keeps none. */
+  readonly receiveQuota?: ReceiveQuota | undefined;
   readonly names: Pick<HeaderNames, 'callId'>;
   readonly clock: Clock;
   readonly log: Log;
@@ -88,6 +91,8 @@
   readonly writer: LinkWriter;
   readonly activeCalls: Map<number, Attempt>;
   readonly heldCalls: HeldCalls;
+  /** The other daemon; undefined until it has said who it is. */
+  member: Member | undefined;
   isLocal: boolean;
   /** Load last reported over this link. */
   reportedLoad: number;
@@ -181,6 +186,7 @@
       refuse: (id, end) => writeEnd(link, id, end, options.gate.getReport()),
       confirm: () => writer.write([MessageKind.Ping]),
     }),
+    member: undefined,
     isLocal: false,
     reportedLoad: 0,
   };
@@ -214,6 +220,7 @@
     case MessageKind.Hello: {
       const { member, sentAtMs } = parseHello(message);
       link.heldCalls.receiveTime(sentAtMs);
+      link.member = member;
       link.isLocal = member.dataCentre === options.self.dataCentre;
       write(link, toHelloMessage(options.self, options.getStatus(), options.clock()));
       write(link, toReportMessage(options.gate.getReport()));
@@ -245,6 +252,11 @@
     case MessageKind.Crashes:
       options.receiveCrashNotices(parseCrashes(message));
       break;
+    case MessageKind.QuotaUsage:
+    case MessageKind.QuotaSummary:
+      if (link.member !== undefined)
+        options.receiveQuota?.(link.member, message, (frame) => writeFrame(link, frame));
+      break;
     case MessageKind.Limit:
       options.gate.restoreLimit(parseLimit(message));
       break;
@@ -306,6 +318,10 @@
   writer.writeLarge(id, end.answer.body, toEndMessage(id, endWithoutBody, report));
 }
 
+function writeFrame({ socket }: AcceptedLink, frame: Buffer): void {
+  if (!socket.destroyed) socket.write(frame);
+}
+
 function write({ writer }: AcceptedLink, message: Message): void {
   writer.write(message);
 }
--- a/packages/relay/src/CactusdealRelayLinkPlan.ts
+++ b/packages/relay/src/CactusdealRelayLinkPlan.ts
@@ -23,6 +23,8 @@
 const REMOTE_GATES_PER_SERVICE = 3;
 /** Daemons of the own data centre, lowest ids first, that every daemon of it is linked to. */
 const LOWEST_IDS = 6;
+/** Daemons of each data centre, lowest ids first, that exchange sums of quotas with those of the others. */
+const QUOTA_LINKED_IDS = 2;
 
 /**
  * Chooses the daemons to which `self` keeps links; returns their ids.
@@ -32,13 +34,16 @@
  * each data centre, so the number of links depends on services and data centres only. Each daemon
  * ranks the others by a hash of both ids, which spreads the links of all daemons over all gates.
  * Usable links are kept, so that a newcomer moves no link; a failing one is kept as well but does not
- * count, so that another gate takes its place.
+ * count, so that another gate takes its place. While organisations have quotas (`hasQuotas`), the lowest ids
+ * of each data centre keep links to those of the others in addition.
  */
 export function chooseLinks(
   self: Member,
   candidates: readonly LinkCandidate[],
+  hasQuotas = false,
 ): ReadonlySet<string> {
   const chosen = new Set<string>();
+  if (hasQuotas) listQuotaIds(self, candidates).forEach((id) => chosen.add(id));
   listLowestIds(self, candidates).forEach((id) => chosen.add(id));
   groupByService(candidates).forEach((group) => {
     const isLocal = group[0]?.member.dataCentre === self.dataCentre;
@@ -58,6 +63,25 @@
     .slice(0, LOWEST_IDS);
 }
 
+/** The lowest ids of the other data centres, for a daemon that is among the lowest of its own. */
+function listQuotaIds(self: Member, candidates: readonly LinkCandidate[]): readonly string[] {
+  const lowerIds = listLowestIds(self, candidates).filter((id) => id < self.id);
+  if (lowerIds.length >= QUOTA_LINKED_IDS) return [];
+  const remote = candidates
+    .filter(({ member }) => member.dataCentre !== self.dataCentre)
+    .filter(({ state }) => state !== LinkState.Failing)
+    .map(({ member }) => member)
+    .sort((left, right) => (left.id < right.id ? -1 : 1));
+  const counts = new Map<string, number>();
+  return remote
+    .filter(({ dataCentre }) => {
+      const count = (counts.get(dataCentre) ?? 0) + 1;
+      counts.set(dataCentre, count);
+      return count <= QUOTA_LINKED_IDS;
+    })
+    .map(({ id }) => id);
+}
+
 /** Groups by data centre and service. */
 function groupByService(candidates: readonly LinkCandidate[]): readonly LinkCandidate[][] {
   const groups = new Map<string, LinkCandidate[]>();
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -3,6 +3,7 @@
 import { chooseLinks, LinkState } from './CactusdealRelayLinkPlan.js';
 import { createPeer, type Peer, SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import { MAX_REMOVED_MEMBERS } from './CactusdealRelayPorts.js';
+import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
 import type {
   CrashNoticeExchange,
   DepartureExchange,
@@ -33,6 +34,8 @@
   /** Lists the gates of the service in the own data centre (local) or in all others. */
   listGates(query: GateQuery, isLocal: boolean): readonly GateView[];
   countConnected(): number;
+  /** Counts the known daemons, linked or not. */
+  countKnown(): number;
   /**
    * Lists daemons of the own data centre that have had no link for `durationMs`, if this daemon has
    * the lowest id of those that can be reached; at most `MAX_REMOVED_MEMBERS`.
@@ -60,6 +63,9 @@
   readonly getStatus: () => Status;
   readonly receiveStatus: (peer: Peer, status: Status) => void;
   readonly receiveUpdate: (peer: Peer, update: VersionUpdate) => void;
+  readonly receiveQuota?: ReceiveQuota | undefined;
+  /** Whether organisations have quotas, which takes links of its own. */
+  readonly hasQuotas?: (() => boolean) | undefined;
   /** Called every `SILENCE_CHECK_MS`, by the timer that checks the links. */
   readonly checkPause: () => void;
   readonly clock: Clock;
@@ -105,6 +111,7 @@
       return views;
     },
     countConnected: () => [...peers.values()].filter((peer) => peer.isConnected()).length,
+    countKnown: () => known.size,
     listLost,
     close: () => {
       timers.forEach(clearInterval);
@@ -179,7 +186,7 @@
       member,
       state: getLinkState(peers.get(member.id)),
     }));
-    const chosen = chooseLinks(options.self, candidates);
+    const chosen = chooseLinks(options.self, candidates, options.hasQuotas?.() ?? false);
     peers.forEach((peer, id) => {
       if (!chosen.has(id) && peer.isIdle()) removePeer(id);
     });
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -1,6 +1,8 @@
 import { type Pause } from '@cactusdeal/shared';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { CallRecord } from './CactusdealRelayEntry.js';
+import type { QuotaStatus } from './CactusdealRelayQuotaExchange.js';
+import { addQuotaMetrics } from './CactusdealRelayQuotaMetrics.js';
 import type { CallStage, GateReport } from './CactusdealRelayTypes.js';
 
 /** The relay's metrics for Prometheus. */
@@ -21,6 +23,7 @@
   /** Counts what this release does not know in a version that came into force. */
   recordWarnings(count: number): void;
   recordPause(pause: Pause): void;
+  recordOverQuota(organisation: string): void;
   /** Renders the metrics in the text exposition format. */
   render(): Promise<string>;
 }
@@ -42,6 +45,8 @@
   countQuarantined(): number;
   countLinks(): number;
   countLostLines(): number;
+  /** Undefined while no organisation has a quota. */
+  getQuotaStatus(): QuotaStatus | undefined;
 }
 
 const BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5];
@@ -132,6 +137,7 @@
   );
   addGauge('cactusdeal_links', 'Open links to other daemons', sources.countLinks);
   addGauge('cactusdeal_log_lines_lost', 'Log lines that were dropped', sources.countLostLines);
+  const quotas = addQuotaMetrics(registry, () => sources.getQuotaStatus());
   return {
     recordCall: ({ kind, outcome, durationMs }) => {
       durations.observe({ kind, outcome }, durationMs / MS_PER_SECOND);
@@ -144,6 +150,7 @@
     recordRejection: () => rejections.inc(),
     recordWarnings: (count) => warnings.inc(count),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
+    recordOverQuota: (organisation) => quotas.recordRefusal(organisation),
     render: () => registry.metrics(),
   };
 
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -11,6 +11,7 @@
 import { createGateLatency, type GateLatency } from './CactusdealRelayGateLatency.js';
 import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
+import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -48,6 +49,8 @@
 export interface Peer {
   readonly member: Member;
   isConnected(): boolean;
+  /** Whether the link is open and the daemon has said who it is. */
+  isReachable(): boolean;
   /** Whether there is a link, or connecting has not failed for long. */
   isUsable(): boolean;
   /** Time without a link, in milliseconds; 0 while there is one. */
@@ -78,6 +81,8 @@
    * whole one.
    */
   requestConfiguration(version: number): void;
+  /** Writes an encoded message of the quotas. */
+  tellQuota(frame: Buffer): void;
   /** Tells the daemon of calls that crashed upstreams. */
   tellCrashes(notices: readonly CrashNotice[]): void;
   /**
@@ -98,6 +103,8 @@
   readonly log: Log;
   readonly receiveStatus: (peer: Peer, status: Status) => void;
   readonly receiveUpdate: (peer: Peer, update: VersionUpdate) => void;
+  /** Handles a message of the quotas; undefined if this daemon keeps none. */
+  readonly receiveQuota?: ReceiveQuota | undefined;
 }
 
 /** A call that was sent over the link and has not ended. */
@@ -192,6 +199,10 @@
     return this.link.isOpen();
   }
 
+  public isReachable(): boolean {
+    return this.isConnected() && this.status !== undefined;
+  }
+
   public isUsable(): boolean {
     return this.getDisconnectedMs() < FAILING_AFTER_MS;
   }
@@ -307,6 +318,10 @@
         this.options.receiveDeparture(memberId, upstream);
         break;
       }
+      case MessageKind.QuotaState:
+      case MessageKind.QuotaSummary:
+        this.options.receiveQuota?.(this.member, message, (frame) => this.tellQuota(frame));
+        break;
       case MessageKind.Crashes:
         this.options.receiveCrashNotices(parseCrashes(message));
         break;
@@ -416,6 +431,10 @@
     this.link.write([MessageKind.ConfigurationRequest, version]);
   }
 
+  public tellQuota(frame: Buffer): void {
+    this.link.writeFrame(frame);
+  }
+
   public tellCrashes(notices: readonly CrashNotice[]): void {
     if (notices.length > 0) this.link.write(toCrashesMessage(notices));
   }
--- a/packages/relay/src/CactusdealRelayPeerLink.ts
+++ b/packages/relay/src/CactusdealRelayPeerLink.ts
@@ -15,6 +15,8 @@
   isOpen(): boolean;
   /** Writes a message; does nothing without a connection. */
   write(message: Message): void;
+  /** Writes an encoded message; does nothing without a connection. */
+  writeFrame(frame: Buffer): void;
   /** Ends the connection; `reason` goes to the log. */
   fail(reason: string): void;
   /** Time since the last data, in milliseconds. */
@@ -142,6 +144,10 @@
     this.socket?.write(encodeMessage(message));
   }
 
+  public writeFrame(frame: Buffer): void {
+    this.socket?.write(frame);
+  }
+
   public fail(reason: string): void {
     this.socket?.destroy(new Error(reason));
   }
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayQuotaWire.ts
@@ -0,0 +1,119 @@
+import { type Message, MessageKind } from './CactusdealRelayFrames.js';
+
+/** Calls of an organisation since the last message about them. */
+export interface QuotaCount {
+  readonly name: string;
+  readonly arrivals: number;
+  /** Calls let through, less those given back; may be negative. */
+  readonly admitted: number;
+}
+
+/** What entries know of a throttled organisation. */
+export interface QuotaThrottle {
+  /** Fraction of its calls that entries admit, 0 to 1. */
+  readonly fraction: number;
+  /** Calls left in its bucket; negative once more were admitted than its quota allows. */
+  readonly level: number;
+  /** Its calls per second over all daemons. */
+  readonly demand: number;
+}
+
+/** A throttled organisation in the state sent to entries. */
+export interface NamedThrottle extends QuotaThrottle {
+  readonly name: string;
+}
+
+/** An entry's counts of an organisation, with its throttle so that a new coordinator continues from it. */
+export interface QuotaUsage extends QuotaCount {
+  readonly throttle: QuotaThrottle | undefined;
+}
+
+/** A coordinator's counts of an organisation, with its view of the bucket. */
+export interface QuotaSum extends QuotaCount {
+  readonly level: number;
+}
+
+/** What a coordinator tells other coordinators. */
+export interface QuotaSummary {
+  /** Number of hosts that report to the coordinator. */
+  readonly hosts: number;
+  readonly sums: readonly QuotaSum[];
+}
+
+type Row = readonly unknown[];
+
+export function toUsageMessage(usages: readonly QuotaUsage[]): Message {
+  const rows = usages.map(({ name, arrivals, admitted, throttle }) =>
+    throttle === undefined
+      ? [name, arrivals, admitted]
+      : [name, arrivals, admitted, ...toFields(throttle)],
+  );
+  return [MessageKind.QuotaUsage, ...rows];
+}
+
+/** Decodes an entry's report; leaves out what is no valid row. */
+export function parseUsage([, ...rows]: Message): readonly QuotaUsage[] {
+  return rows.filter(isRow).flatMap((row) => {
+    const count = parseCount(row);
+    return count === undefined ? [] : [{ ...count, throttle: parseThrottle(row, 3) }];
+  });
+}
+
+export function toStateMessage(throttles: readonly NamedThrottle[]): Message {
+  return [
+    MessageKind.QuotaState,
+    ...throttles.map((throttle) => [throttle.name, ...toFields(throttle)]),
+  ];
+}
+
+/** Decodes the throttled organisations; leaves out what is no valid row. */
+export function parseState([, ...rows]: Message): readonly NamedThrottle[] {
+  return rows.filter(isRow).flatMap((row) => {
+    const [name] = row;
+    const throttle = parseThrottle(row, 1);
+    return typeof name === 'string' && throttle !== undefined ? [{ name, ...throttle }] : [];
+  });
+}
+
+export function toSummaryMessage({ hosts, sums }: QuotaSummary): Message {
+  const rows = sums.map(({ name, arrivals, admitted, level }) => [
+    name,
+    arrivals,
+    admitted,
+    Math.round(level),
+  ]);
+  return [MessageKind.QuotaSummary, hosts, ...rows];
+}
+
+/** Decodes a summary; leaves out what is no valid row. */
+export function parseSummary([, hosts, ...rows]: Message): QuotaSummary {
+  const sums = rows.filter(isRow).flatMap((row) => {
+    const count = parseCount(row);
+    const level = row[3];
+    return count === undefined || !isFinite(level) ? [] : [{ ...count, level }];
+  });
+  return { hosts: isFinite(hosts) ? Math.max(0, hosts) : 0, sums };
+}
+
+function toFields({ fraction, level, demand }: QuotaThrottle): readonly number[] {
+  return [Number(fraction.toFixed(4)), Math.round(level), Math.round(demand)];
+}
+
+function parseCount([name, arrivals, admitted]: Row): QuotaCount | undefined {
+  if (typeof name !== 'string' || !isFinite(arrivals) || !isFinite(admitted)) return undefined;
+  return { name, arrivals: Math.max(0, arrivals), admitted };
+}
+
+function parseThrottle(row: Row, start: number): QuotaThrottle | undefined {
+  const [fraction, level, demand] = row.slice(start);
+  if (!isFinite(fraction) || !isFinite(level) || !isFinite(demand)) return undefined;
+  return { fraction: Math.min(1, Math.max(0, fraction)), level, demand };
+}
+
+function isRow(field: unknown): field is Row {
+  return Array.isArray(field);
+}
+
+function isFinite(field: unknown): field is number {
+  return Number.isFinite(field);
+}
--- a/packages/relay/src/CactusdealRelayResponder.ts
+++ b/packages/relay/src/CactusdealRelayResponder.ts
@@ -22,6 +22,8 @@
   ): void;
   /** Responds that the call names no API key that the configuration knows, or none where it needs one. */
   answerUnauthorised(response: ServerResponse, id: string | undefined): void;
+  /** Responds that the quota of the caller's organisation is used up for the delay. */
+  refuseOverQuota(response: ServerResponse, id: string | undefined, retryAfterMs: number): void;
   answerNoRoute(response: ServerResponse, id: string | undefined): void;
   answerTooLarge(response: ServerResponse, id: string | undefined): void;
   /** Responds that the body was not complete in time, so that the call was not run. */
@@ -59,6 +61,7 @@
     refuse,
     answerUnauthorised: (response, id) =>
       answer(response, id, HttpStatus.Unauthorised, 'unauthorised', CHALLENGE),
+    refuseOverQuota,
     answerNoRoute: (response, id) => answer(response, id, HttpStatus.NotFound, 'no-route'),
     answerTooLarge: (response, id) => answer(response, id, HttpStatus.TooLarge, 'body-too-large'),
     answerBodyTimeout: (response, id) =>
@@ -105,6 +108,17 @@
     answer(response, id, HttpStatus.Unavailable, reason, ['retry-after', String(seconds)]);
   }
 
+  /** Not logged, as an organisation far beyond its quota would fill the log; its throttling is logged. */
+  function refuseOverQuota(
+    response: ServerResponse,
+    id: string | undefined,
+    retryAfterMs: number,
+  ): void {
+    const headers = ['retry-after', String(retryAfterMs / MS_PER_SECOND)];
+    if (id !== undefined) headers.push(names.callId, id);
+    write(response, HttpStatus.TooMany, headers, NO_BODY);
+  }
+
   function answer(
     response: ServerResponse,
     id: string | undefined,
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -30,6 +30,7 @@
 import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
 import type { ConfigurationSource, MemberRegistry } from './CactusdealRelayPorts.js';
 import { SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
+import { createQuotas, type Quotas } from './CactusdealRelayQuotas.js';
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
 import { createRouter } from './CactusdealRelayRouter.js';
@@ -114,6 +115,7 @@
   readonly registration: Registration;
   readonly upstreamTracker: UpstreamTracker;
   readonly quarantine: Quarantine;
+  readonly quotas: Quotas;
   readonly log: Log;
 }
 
@@ -189,9 +191,10 @@
     clock,
     random,
     log,
-    observe: ({ limits, warnings }, origin) => {
-      entry?.setLimits(limits);
-      metrics.recordWarnings(warnings.length);
+    observe: (configuration, origin) => {
+      entry?.setLimits(configuration.limits);
+      quotas.setConfiguration(configuration);
+      metrics.recordWarnings(configuration.warnings.length);
       const isRead = origin === VersionOrigin.Platform;
       listener?.pushStatus(isRead ? StatusAudience.All : StatusAudience.DataCentre);
     },
@@ -221,13 +224,17 @@
     receiveStatus: (peer, status) => {
       storeEra.record(status.storeEra ?? NO_ERA, EraOrigin.Daemon);
       configurations.receiveStatus(peer, status);
+      quotas.observeLink();
     },
     receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
     checkPause: () => pauseWatch.check(),
+    receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
+    hasQuotas: () => quotas.hasRules(),
     clock,
     linkBytes,
     log,
   });
+  const quotas = createQuotas({ self, members, clock, random, log });
   const retryBudget = createRetryBudget({ ...DEFAULT_RETRY_BUDGET, ...options.retryBudget, clock });
   const router = createRouter({
     self,
@@ -253,6 +260,7 @@
     countQuarantined: () => quarantine.list().length,
     countLinks: () => members.countConnected(),
     countLostLines: options.countLostLines,
+    getQuotaStatus: () => quotas.getStatus(),
   });
   listener = await startLinkListener({
     self,
@@ -262,6 +270,7 @@
     getStatus,
     buildUpdate: (version) => configurations.buildUpdate(version),
     receiveMember: (member) => members.add(member),
+    receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
     linkBytes,
     names,
     clock,
@@ -280,6 +289,8 @@
     log,
     isRunning: (callId) => gate.isRunning(callId),
     recordNestedFailure: (callId) => gate.recordNestedFailure(callId),
+    quota: quotas,
+    recordOverQuota: metrics.recordOverQuota,
     recordCall: metrics.recordCall,
     recordUnauthorised: metrics.recordUnauthorised,
     recordCancelled: metrics.recordCancelled,
@@ -298,6 +309,7 @@
     registration,
     upstreamTracker,
     quarantine,
+    quotas,
     log,
   };
   return {
@@ -350,5 +362,6 @@
   relayParts.upstreamTracker.close();
   gate.close();
   relayParts.quarantine.close();
+  relayParts.quotas.close();
   await listener.close();
 }
