--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -1,3 +1,4 @@
+import { createMessageReader, type Message } from '../CactusdealRelayFrames.js';
 import type { GateView } from '../CactusdealRelayBalancer.js';
 import type {
   CrashNoticeExchange,
@@ -109,3 +110,10 @@
     },
   };
 }
+
+/** Decodes the one message of a frame. */
+export function decodeFrame(frame: Buffer): Message {
+  const messages: Message[] = [];
+  createMessageReader((message) => messages.push(message)).read(frame);
+  return messages[0] as Message;
+}
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -317,6 +317,8 @@
   readonly host?: string;
   readonly remainingMs?: number;
   readonly body?: string;
+  /** API key. */
+  readonly key?: string;
   readonly signal?: AbortSignal;
 }
 
@@ -332,14 +334,19 @@
     host = 'a.example',
     remainingMs = 2_000,
   } = options;
-  const { body, signal } = options;
+  const { body, key, signal } = options;
   return new Promise((resolve, reject) => {
     const outgoing = request(
       `http://${entryAddress}${path}`,
       {
         method,
         agent: false,
-        headers: { host, [NAMES.callId]: id, [NAMES.deadline]: String(remainingMs) },
+        headers: {
+          host,
+          [NAMES.callId]: id,
+          [NAMES.deadline]: String(remainingMs),
+          ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+        },
         ...(signal === undefined ? {} : { signal }),
       },
       (response) => {
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkPlan.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkPlan.test.ts
@@ -125,3 +125,32 @@
     assert.equal(far.length, 0);
   });
 });
+
+describe('the links of a daemon while organisations have quotas', () => {
+  const listAdded = (member: Member): readonly string[] => {
+    const candidates = listCandidates(member, withoutLinks);
+    const usual = chooseLinks(member, candidates);
+    return [...chooseLinks(member, candidates, true)].filter((id) => !usual.has(id));
+  };
+  const isLowest = ({ id }: Member): boolean => /-fotos-[01]$/.test(id);
+
+  it('lead from the two lowest ids of a data centre to those of each other, and from no other id', () => {
+    const lowestIds = fleet.filter(isLowest).map(({ id }) => id);
+    fleet.forEach((member) => {
+      const added = listAdded(member);
+      if (!isLowest(member)) assert.deepEqual(added, []);
+      const chosen = chooseLinks(member, listCandidates(member, withoutLinks), true);
+      const missing = lowestIds.filter((id) => id !== member.id && !chosen.has(id));
+      if (isLowest(member)) assert.deepEqual(missing, []);
+      assert.ok(added.every((id) => lowestIds.includes(id)));
+    });
+  });
+
+  it('lead to the next lowest id in place of one that cannot be connected to', () => {
+    const [caller] = fleet.filter(isLowest) as [Member];
+    const failing: StateOf = ({ id }) =>
+      id === 'sur-fotos-0' ? LinkState.Failing : LinkState.None;
+    const chosen = chooseLinks(caller, listCandidates(caller, failing), true);
+    assert.ok(chosen.has('sur-fotos-1') && chosen.has('sur-fotos-2'));
+  });
+});
