Test organisations from the caller to the upstream

Cause: authentication was tested as a function only, not with an entry, a link, a gate and an upstream.

The cluster's sendCall takes further fields and an agent, and tells the port that it used.

--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -1,4 +1,5 @@
 import {
+  type Agent,
   createServer,
   type IncomingMessage,
   request,
@@ -238,7 +239,6 @@
   return host;
 }
 
-/** Answers as a healthy upstream does. */
 /** Answers as the upstream itself does, with success by default. */
 export function answerOk(request_: IncomingMessage, response: ServerResponse, status = 200): void {
   response.writeHead(status, {
@@ -308,6 +308,8 @@
   readonly status: number;
   readonly headers: IncomingMessage['headers'];
   readonly body: string;
+  /** Port of the caller's side of the connection. */
+  readonly localPort: number | undefined;
 }
 
 export interface CallOptions {
@@ -317,7 +319,11 @@
   readonly host?: string;
   readonly remainingMs?: number;
   readonly body?: string;
+  /** Further header fields. */
+  readonly headers?: Readonly<Record<string, string>>;
   readonly signal?: AbortSignal;
+  /** By default each call has a connection of its own. */
+  readonly agent?: Agent;
 }
 
 /** Sends one call to a host's entry; rejects if the connection ends without a response. */
@@ -332,22 +338,29 @@
     host = 'a.example',
     remainingMs = 2_000,
   } = options;
-  const { body, signal } = options;
+  const { body, signal, headers: furtherHeaders, agent = false } = options;
   return new Promise((resolve, reject) => {
     const outgoing = request(
       `http://${entryAddress}${path}`,
       {
         method,
-        agent: false,
-        headers: { host, [NAMES.callId]: id, [NAMES.deadline]: String(remainingMs) },
+        agent,
+        headers: {
+          host,
+          [NAMES.callId]: id,
+          [NAMES.deadline]: String(remainingMs),
+          ...furtherHeaders,
+        },
         ...(signal === undefined ? {} : { signal }),
       },
       (response) => {
         const chunks: Buffer[] = [];
+        const { localPort } = response.socket;
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
         response.on('end', () => {
           const { statusCode = 0, headers } = response;
-          resolve({ status: statusCode, headers, body: Buffer.concat(chunks).toString() });
+          const text = Buffer.concat(chunks).toString();
+          resolve({ status: statusCode, headers, body: text, localPort });
         });
         response.on('error', reject);
       },
