Hash calls only when a crash is remembered, and use one timer for all deadlines

Cause: the gate hashed each call and its body though the hash matters only after a crash; the entry set a timer for each call's deadline, and the upstream pool started and stopped an interval with each request. Change: a success is remembered with a function that computes its fingerprint when a crash follows within the time for which successes count (bodies above 1 KB are hashed at once and not kept); deadlines of callers share one timer; the pool's checks end with the first one that finds no request.

--- a/packages/quarantine/src/CactusdealQuarantine.ts
+++ b/packages/quarantine/src/CactusdealQuarantine.ts
@@ -1,5 +1,9 @@
 import type { Clock } from '@cactusdeal/shared';
 import type { CrashNotice } from './CactusdealQuarantineNotice.js';
+import {
+  createPendingSuccesses,
+  type PendingSuccesses,
+} from './CactusdealQuarantinePendingSuccesses.js';
 
 /** Options of `createQuarantine`; times in milliseconds. */
 export interface QuarantineOptions {
@@ -33,6 +37,11 @@
    */
   recordCrash(fingerprint: string, inFlight: number): void;
   recordSuccess(fingerprint: string): void;
+  /**
+   * Records a success like `recordSuccess`. The fingerprint is computed now if any crash is remembered, else
+   * at the next crash, if that follows within the time for which successes count.
+   */
+  recordPendingSuccess(computeFingerprint: () => string): void;
   /**
    * Merges the total that another daemon has counted; false if it is known. Idempotent; lower totals
    * are ignored.
@@ -61,6 +70,8 @@
 /** Calls of one fingerprint that are interrupted within this time count as one crash. */
 const CRASH_DEDUPLICATION_MS = 1_000;
 const MAX_FINGERPRINTS = 10_000;
+/** Most successes whose fingerprints are computed together. */
+const MAX_PENDING_SUCCESSES = 1_000;
 
 interface CrashCounts {
   readonly ownCrashes: number;
@@ -94,6 +105,8 @@
   /** Time of the last success of each fingerprint, in milliseconds; least recent first. */
   private readonly successAtMs = new Map<string, number>();
 
+  private readonly pendingSuccesses: PendingSuccesses = createPendingSuccesses();
+
   private readonly clock: Clock;
 
   public constructor(private readonly options: QuarantineOptions) {
@@ -106,6 +119,7 @@
   }
 
   public recordCrash(fingerprint: string, inFlight: number): void {
+    this.flushPendingSuccesses();
     const known = this.findSuspect(fingerprint) ?? createSuspect();
     const nowMs = this.clock();
     if (this.hasRecentSuccess(fingerprint) || nowMs - known.lastOwnCrashMs < CRASH_DEDUPLICATION_MS)
@@ -124,6 +138,7 @@
   }
 
   public mergeNotice({ source, fingerprint, crashes, inFlight, ageMs }: CrashNotice): boolean {
+    this.flushPendingSuccesses();
     const known = this.findSuspect(fingerprint) ?? createSuspect();
     const knownCrashes =
       source === this.options.source ? Infinity : (known.reportedCrashes.get(source) ?? 0);
@@ -156,13 +171,39 @@
   }
 
   public recordSuccess(fingerprint: string): void {
+    this.flushPendingSuccesses();
     this.suspects.delete(fingerprint);
+    this.addSuccess(fingerprint, this.clock());
+  }
+
+  public recordPendingSuccess(computeFingerprint: () => string): void {
+    if (this.hasSuspects()) {
+      this.recordSuccess(computeFingerprint());
+      return;
+    }
+    const nowMs = this.clock();
+    this.pendingSuccesses.add(computeFingerprint, nowMs, nowMs - this.getSuccessTtlMs());
+    if (this.pendingSuccesses.count() >= MAX_PENDING_SUCCESSES) this.flushPendingSuccesses();
+  }
+
+  private flushPendingSuccesses(): void {
+    if (this.pendingSuccesses.count() === 0) return;
+    this.pendingSuccesses.flush(this.clock() - this.getSuccessTtlMs(), (fingerprint, atMs) => {
+      this.addSuccess(fingerprint, atMs);
+    });
+  }
+
+  private addSuccess(fingerprint: string, atMs: number): void {
     this.successAtMs.delete(fingerprint);
-    this.successAtMs.set(fingerprint, this.clock());
+    this.successAtMs.set(fingerprint, atMs);
     this.evictOldest(this.successAtMs);
     this.evictExpiredSuccesses();
   }
 
+  private getSuccessTtlMs(): number {
+    return this.options.successTtlMs ?? SUCCESS_TTL_MS;
+  }
+
   private evictExpiredSuccesses(): void {
     for (const fingerprint of this.successAtMs.keys()) {
       if (this.hasRecentSuccess(fingerprint)) return;
@@ -171,8 +212,7 @@
   }
 
   private hasRecentSuccess(fingerprint: string): boolean {
-    const { successTtlMs = SUCCESS_TTL_MS } = this.options;
-    return this.clock() - (this.successAtMs.get(fingerprint) ?? -Infinity) < successTtlMs;
+    return this.clock() - (this.successAtMs.get(fingerprint) ?? -Infinity) < this.getSuccessTtlMs();
   }
 
   public list(): readonly { fingerprint: string; untilMs: number; crashes: number }[] {
@@ -189,6 +229,7 @@
   public close(): void {
     this.suspects.clear();
     this.successAtMs.clear();
+    this.pendingSuccesses.clear();
   }
 
   private findSuspect(fingerprint: string): Suspect | undefined {
--- a/packages/quarantine/src/__tests__/unit/CactusdealQuarantine.test.ts
+++ b/packages/quarantine/src/__tests__/unit/CactusdealQuarantine.test.ts
@@ -21,6 +21,11 @@
   atMs,
 });
 
+const succeedUncomputed = (fingerprint: string, atMs = 0): Step => ({
+  run: (quarantine) => quarantine.recordPendingSuccess(() => fingerprint),
+  atMs,
+});
+
 const cases: readonly {
   readonly name: string;
   readonly steps: readonly Step[];
@@ -86,6 +91,32 @@
     steps: [crash('a', 0), succeed('a', 100), crash('a', 6_000)],
     held: [],
   },
+  {
+    name: 'ignores crashes after a recent success without a fingerprint yet',
+    steps: [succeedUncomputed('a'), crash('a', 0), crash('a', 2_000)],
+    held: [],
+  },
+  {
+    name: 'ignores reports after a recent success without a fingerprint yet',
+    steps: [succeedUncomputed('a'), report('x', 'a', 2)],
+    held: [],
+  },
+  {
+    name: 'counts the time of a success without a fingerprint from the success',
+    steps: [
+      succeedUncomputed('a'),
+      crash('b', 4_000),
+      crash('a', 4_500),
+      crash('a', 5_500),
+      crash('a', 7_000),
+    ],
+    held: ['a'],
+  },
+  {
+    name: 'clears a suspicion on success without a fingerprint yet',
+    steps: [crash('a', 0), succeedUncomputed('a', 100), crash('a', 6_000)],
+    held: [],
+  },
   {
     name: 'forgets a suspicion after the suspicion time',
     steps: [crash('a', 0), crash('a', 10_000)],
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -12,6 +12,7 @@
 } from '@cactusdeal/shared';
 import { type ReadBody, readBody } from './CactusdealRelayBody.js';
 import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
+import { createDeadlines, type Deadlines } from './CactusdealRelayDeadlines.js';
 import { findField, selectEndToEnd } from './CactusdealRelayHeaders.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
 import {
@@ -130,6 +131,8 @@
 
   private readonly heldBytes: ByteBudget = createByteBudget(MAX_HELD_BYTES);
 
+  private readonly deadlines: Deadlines;
+
   private activeCalls = 0;
 
   private isRefusing = false;
@@ -141,7 +144,8 @@
   private readonly cancellations = new Set<() => void>();
 
   public constructor(private readonly options: EntryOptions) {
-    const { names, log, getRoutes } = options;
+    const { names, log, getRoutes, clock } = options;
+    this.deadlines = createDeadlines(clock);
     this.strippedFields = new Set([names.deadline, names.upstreamId, names.callerService]);
     this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
@@ -315,12 +319,11 @@
 
   /** Waits for the end of the call, its deadline, the caller's disconnection or `cancelCalls`. */
   private waitForEnd(caller: Caller, run: RunningCall, deadlineAtMs: number): Promise<RoutedEnd> {
-    const { cancellations } = this;
+    const { cancellations, deadlines } = this;
     return new Promise((resolve) => {
-      const remainingMs = deadlineAtMs - this.options.clock();
       const cancel = (): void => stop(UnknownReason.Stopped);
       cancellations.add(cancel);
-      const timer = setTimeout(() => stop(UnknownReason.TimedOut), remainingMs);
+      const removeDeadline = deadlines.add(deadlineAtMs, () => stop(UnknownReason.TimedOut));
       const unsubscribe = caller.onDisconnect(() => stop(UnknownReason.Cancelled));
       void run.end.then(settle);
 
@@ -330,7 +333,7 @@
       }
 
       function settle(end: RoutedEnd): void {
-        clearTimeout(timer);
+        removeDeadline();
         unsubscribe();
         cancellations.delete(cancel);
         resolve(end);
@@ -379,6 +382,7 @@
   }
 
   public close(): void {
+    this.deadlines.close();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -102,6 +102,8 @@
 /** A call that is cancelled this soon after it was sent should not have been sent, in milliseconds. */
 const NEEDLESS_RUN_MS = 25;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Largest body that is kept after the end of its call, to compute the fingerprint later. */
+const MAX_KEPT_BODY_BYTES = 1024;
 
 /** Creates the gate of one upstream. */
 export function createGate(options: GateOptions): Gate {
@@ -178,7 +180,9 @@
 
   /** Refuses a call that crashed upstreams; false if it is none. */
   private refuseQuarantined(tracked: TrackedCall): boolean {
-    const remainingMs = this.options.quarantine.getRemainingMs(tracked.fingerprint);
+    const { quarantine } = this.options;
+    if (!quarantine.hasSuspects()) return false;
+    const remainingMs = quarantine.getRemainingMs(tracked.getFingerprint());
     if (remainingMs > 0) this.refuse(tracked, NotRunReason.Quarantined, remainingMs);
     return remainingMs > 0;
   }
@@ -238,13 +242,14 @@
 
   /** A process that ends after it has said that it leaves is no crash. */
   private async receiveInterrupted(
-    { fingerprint, state }: TrackedCall,
+    { getFingerprint, state }: TrackedCall,
     { id }: Upstream,
   ): Promise<void> {
     const isLeaving = this.upstream?.id === id && this.upstream.state !== 'ready';
     if (state === 'ended' || isLeaving) return;
     const { address } = this.options;
     const inFlight = this.admission.getLoad().running;
+    const fingerprint = getFingerprint();
     await this.crashWatch.receiveInterrupted({ address, fingerprint, inFlight });
   }
 
@@ -297,19 +302,27 @@
           ? result.message
           : `status ${result.answer.status} without the header field ${names.signature}`;
       const call = findField(tracked.call.headers, names.callId);
-      const { fingerprint } = tracked;
+      const fingerprint = tracked.getFingerprint();
       log.warn('upstream-broken', { call, fingerprint, upstream: upstream.id, message, serviceMs });
       return { type: 'unknown', reason: UnknownReason.Broken };
     }
     const { answer } = result;
     if (isShedAnswer(answer, names)) return this.recordShed(upstream, answer);
-    if (hasRunWell(answer, names)) this.options.quarantine.recordSuccess(tracked.fingerprint);
+    if (hasRunWell(answer, names)) this.recordSuccess(tracked);
     this.recordFailure(answer.status >= MIN_SERVER_ERROR_STATUS ? 1 : 0);
     this.serviceTimes.record(tracked.kind, serviceMs);
     const queuedMs = clock() - serviceMs - tracked.arrivedAtMs;
     return { type: 'answered', answer, serviceMs, queuedMs, nestedFailed: false, limit: undefined };
   }
 
+  /** A large body is not kept until its fingerprint is needed. */
+  private recordSuccess({ call, getFingerprint }: TrackedCall): void {
+    const { quarantine } = this.options;
+    const isLarge = (call.body?.byteLength ?? 0) > MAX_KEPT_BODY_BYTES;
+    if (isLarge) quarantine.recordSuccess(getFingerprint());
+    else quarantine.recordPendingSuccess(getFingerprint);
+  }
+
   /** Records what the upstream says of itself in an answer. */
   private recordSignals(upstream: Upstream, sentAtMs: number, answer: Answer): void {
     this.recordLimit(upstream, sentAtMs, answer);
@@ -377,7 +390,8 @@
       settleCall(tracked, buildNotRun(NotRunReason.Cancelled));
     } else if (tracked.state === 'running') {
       this.recordCut(tracked);
-      const { fingerprint, deadlineAtMs: untilMs } = tracked;
+      const { deadlineAtMs: untilMs } = tracked;
+      const fingerprint = tracked.getFingerprint();
       this.crashWatch.receiveCancelled({ address: this.options.address, fingerprint, untilMs });
       settleCall(tracked, { type: 'unknown', reason: UnknownReason.Cancelled });
       tracked.request?.cancel();
--- a/packages/relay/src/CactusdealRelayTrackedCall.ts
+++ b/packages/relay/src/CactusdealRelayTrackedCall.ts
@@ -7,8 +7,8 @@
 /** A call from its arrival at the gate to its end. */
 export interface TrackedCall extends AdmissionRequest {
   readonly call: GateCall;
-  /** Recognises the call when it is sent again. */
-  readonly fingerprint: string;
+  /** The fingerprint that recognises the call when it is sent again; computed on first use. */
+  readonly getFingerprint: () => string;
   readonly arrivedAtMs: number;
   /** When it was sent to the upstream. */
   sentAtMs: number;
@@ -26,9 +26,13 @@
   nowMs: number,
   settle: (end: AttemptEnd) => void,
 ): TrackedCall {
+  let fingerprint: string | undefined;
   return {
     call,
-    fingerprint: computeCallFingerprint(call, names),
+    getFingerprint: () => {
+      fingerprint ??= computeCallFingerprint(call, names);
+      return fingerprint;
+    },
     kind: call.kind,
     priority: call.priority,
     estimateCapMs: computeEstimateCapMs(call.targetMs),
--- a/packages/relay/src/CactusdealRelayUpstream.ts
+++ b/packages/relay/src/CactusdealRelayUpstream.ts
@@ -92,7 +92,7 @@
   return {
     send,
     close: () => {
-      clearInterval(excessTimer);
+      stopChecks();
       openConnections.forEach((connection) => discard(connection));
     },
   };
@@ -137,8 +137,12 @@
     else if (openConnections.has(connection)) idleConnections.push(connection);
   }
 
-  /** Closes connections whose data since the request cannot belong to an answer. */
+  /**
+   * Closes connections whose data since the request cannot belong to an answer. The checks end with the first
+   * one without a request, as starting and stopping a timer with each request would cost more.
+   */
   function closeExcessive(): void {
+    if (busyConnections.size === 0) stopChecks();
     busyConnections.forEach(({ state }) => {
       const excess = findExcess(state);
       if (excess !== undefined) state.socket?.destroy(new Error(excess));
@@ -150,9 +154,7 @@
     excessTimer ??= setInterval(closeExcessive, EXCESS_CHECK_MS);
   }
 
-  function removeBusy(connection: Connection): void {
-    busyConnections.delete(connection);
-    if (busyConnections.size > 0) return;
+  function stopChecks(): void {
     clearInterval(excessTimer);
     excessTimer = undefined;
   }
@@ -165,7 +167,7 @@
     const end = new Promise<UpstreamEnd>((resolve) => {
       const context = { state, heldBytes, pacer };
       const handler = createHandler(request, options.idField, context, (result) => {
-        removeBusy(connection);
+        busyConnections.delete(connection);
         if (result.type === 'answered') releaseConnection(connection);
         else {
           if (result.type === 'broken' && !isCancelled) {
--- a/packages/traffic/src/__tests__/CactusdealTrafficFixtures.ts
+++ b/packages/traffic/src/__tests__/CactusdealTrafficFixtures.ts
@@ -83,6 +83,7 @@
     listNotices: () => [],
     recordCrash: (_, inFlight) => crashes.push(inFlight),
     recordSuccess: (fingerprint) => successes.push(fingerprint),
+    recordPendingSuccess: (computeFingerprint) => successes.push(computeFingerprint()),
     list: () => [],
     close: () => {},
   };
