--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -17,6 +17,7 @@
   createCallerRequests,
   MAX_DEADLINE_MS,
 } from './CactusdealRelayCallerRequest.js';
+import { createDeadlines, type Deadlines } from './CactusdealRelayDeadlines.js';
 import { findField } from './CactusdealRelayHeaders.js';
 import { checkApiKey, computeRank } from './CactusdealRelayOrganisations.js';
 import type { QuotaLimiter } from './CactusdealRelayQuotas.js';
@@ -150,6 +151,8 @@
 
   private readonly heldBytes: ByteBudget = createByteBudget(MAX_HELD_BYTES);
 
+  private readonly deadlines: Deadlines;
+
   private activeCalls = 0;
 
   private isRefusing = false;
@@ -161,8 +164,9 @@
   private readonly cancellations = new Set<() => void>();
 
   public constructor(private readonly options: EntryOptions) {
-    const { names, log, getRoutes } = options;
+    const { names, log, getRoutes, clock } = options;
     this.requests = createCallerRequests(names, options.callerService);
+    this.deadlines = createDeadlines(clock);
     this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
@@ -385,12 +389,11 @@
 
   /** Waits for the end of the call, its deadline, the caller's disconnection or `cancelCalls`. */
   private waitForEnd(caller: Caller, run: RunningCall, deadlineAtMs: number): Promise<RoutedEnd> {
-    const { cancellations } = this;
+    const { cancellations, deadlines } = this;
     return new Promise((resolve) => {
-      const remainingMs = deadlineAtMs - this.options.clock();
       const cancel = (): void => stop(UnknownReason.Stopped);
       cancellations.add(cancel);
-      const timer = setTimeout(() => stop(UnknownReason.TimedOut), remainingMs);
+      const removeDeadline = deadlines.add(deadlineAtMs, () => stop(UnknownReason.TimedOut));
       const unsubscribe = caller.onDisconnect(() => stop(UnknownReason.Cancelled));
       void run.end.then(settle);
 
@@ -400,7 +403,7 @@
       }
 
       function settle(end: RoutedEnd): void {
-        clearTimeout(timer);
+        removeDeadline();
         unsubscribe();
         cancellations.delete(cancel);
         resolve(end);
@@ -426,6 +429,7 @@
   }
 
   public close(): void {
+    this.deadlines.close();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/packages/relay/src/__tests__/unit/CactusdealRelayApiKeys.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayApiKeys.test.ts
@@ -207,6 +207,12 @@
       recordCall: () => {},
       recordCancelled: () => {},
       recordUnauthorised: () => {},
+      quota: {
+        admit: () => ({ isAdmitted: true, retryAfterMs: 0 }),
+        release: () => {},
+        close: () => {},
+      },
+      recordOverQuota: () => {},
     });
   });
   after(() => entry.close());
