Handle a configuration version in proportion to what it changes

Cause: each version was compared, patched, serialised, parsed, checked and indexed as a whole in every daemon; with 2,200 routes a general JSON diff alone took most of 20 ms. Change: versions are kept as parsed documents that share equal tables and entries. Updates list whole entries that differ (RFC 6902, readable by daemons of the previous release, whose deltas are read too), name the place of added entries, and are applied without copying the rest.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -1,4 +1,5 @@
-import { type Clock, type Log, type Random, waitMs } from '@cactusdeal/shared';
+import { type Clock, type Failure, type Log, type Random, waitMs } from '@cactusdeal/shared';
+import type { Either } from 'purify-ts';
 import type { Members } from './CactusdealRelayMembers.js';
 import type { Peer } from './CactusdealRelayPeer.js';
 import {
@@ -159,17 +160,31 @@
   }
 
   public receiveUpdate(peer: Peer, update: VersionUpdate): void {
-    this.history
-      .apply(update)
+    this.decodeUpdate(update)
       .ifLeft(({ kind, message }) => {
         this.options.log.warn('update-rejected', { peer: peer.member.id, kind, message });
         if (update.type === 'delta') peer.requestConfiguration(0);
       })
-      .ifRight((source) => this.decodeAndApply(source, VersionOrigin.Daemon));
+      .ifRight((decoded) => this.applyDecoded(decoded, VersionOrigin.Daemon));
   }
 
-  private decodeAndApply(source: string, origin: VersionOrigin): void {
-    const decoded = this.options.source.decode(source);
+  /** The outer failure is that of the update, the inner one that of the version. */
+  private decodeUpdate(
+    update: VersionUpdate,
+  ): Either<Failure, Either<Failure, RelayConfiguration>> {
+    const { source } = this.options;
+    if (source.decodeDocument === undefined)
+      return this.history.apply(update).map((text) => source.decode(text));
+    return this.history.applyToDocument(update).map(source.decodeDocument);
+  }
+
+  private decodeText(text: string): Either<Failure, RelayConfiguration> {
+    const { source } = this.options;
+    if (source.decodeDocument === undefined) return source.decode(text);
+    return this.history.parse(text).chain(source.decodeDocument);
+  }
+
+  private applyDecoded(decoded: Either<Failure, RelayConfiguration>, origin: VersionOrigin): void {
     decoded
       .ifLeft(({ kind, message }) => {
         this.options.log.warn('version-rejected', { kind, message });
@@ -182,8 +197,8 @@
     if (!this.isNewer(next.version)) return;
     const previousVersion = this.configuration?.version ?? 0;
     this.configuration = next;
-    this.routes = buildRouteTable(next);
-    this.history.add(next.version, next.source);
+    this.routes = buildRouteTable(next, this.routes);
+    this.history.add(next.version, next.document ?? next.source);
     this.requestedAtMs = -Infinity;
     log.info('version-in-force', {
       version: next.version,
@@ -250,7 +265,7 @@
       this.options.log.info('platform-regained');
       this.options.observePlatform();
     }
-    sources.forEach((source) => this.decodeAndApply(source, VersionOrigin.Platform));
+    sources.forEach((text) => this.applyDecoded(this.decodeText(text), VersionOrigin.Platform));
   }
 
   /**
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayDocument.ts
@@ -0,0 +1,249 @@
+import { type Failure, formatError } from '@cactusdeal/shared';
+import { type Either, Left, Right } from 'purify-ts';
+import { applyPatch, type Operation } from 'rfc6902';
+
+/**
+ * A configuration as a JSON object, whose tables (members that are objects) have one entry for each
+ * route, service or the like. Versions share the tables and entries that are equal in both, so none of
+ * them may be changed in place.
+ */
+export type JsonDocument = Readonly<Record<string, unknown>>;
+
+/**
+ * An operation of RFC 6902. An entry that is added to a table also names the entry that it follows, null
+ * for the first place: a daemon that does not know the member ignores it and adds the entry at the end.
+ */
+export type DocumentOperation = Operation & { readonly after?: string | null };
+
+type Table = ReadonlyMap<string, unknown>;
+
+export function isJsonDocument(value: unknown): value is JsonDocument {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/**
+ * Lists the operations that turn `base` into `target`. The work is a comparison of references for what
+ * both share.
+ */
+export function diffDocuments(base: JsonDocument, target: JsonDocument): DocumentOperation[] {
+  return diffTable(toTable(base), toTable(target), '', diffMember);
+}
+
+function diffMember(before: unknown, after: unknown, path: string): readonly DocumentOperation[] {
+  if (before === after) return [];
+  if (!isJsonDocument(before) || !isJsonDocument(after)) return diffEntry(before, after, path);
+  const [left, right] = [toTable(before), toTable(after)];
+  if (!hasSameOrder(left, right)) return [{ op: 'replace', path, value: after }];
+  return diffTable(left, right, path, diffEntry);
+}
+
+function diffEntry(before: unknown, after: unknown, path: string): readonly DocumentOperation[] {
+  return isEqualJson(before, after) ? [] : [{ op: 'replace', path, value: after }];
+}
+
+function diffTable(
+  base: Table,
+  target: Table,
+  path: string,
+  diff: typeof diffEntry,
+): DocumentOperation[] {
+  const operations: DocumentOperation[] = [];
+  base.forEach((_, name) => {
+    if (!target.has(name)) operations.push({ op: 'remove', path: path + formatToken(name) });
+  });
+  let previous: string | null = null;
+  target.forEach((value, name) => {
+    const entryPath = path + formatToken(name);
+    if (base.has(name)) operations.push(...diff(base.get(name), value, entryPath));
+    else operations.push({ op: 'add', path: entryPath, value, after: previous });
+    previous = name;
+  });
+  return operations;
+}
+
+/** Whether the entries of both tables follow one another in the same order. */
+function hasSameOrder(base: Table, target: Table): boolean {
+  const kept = [...base.keys()].filter((name) => target.has(name));
+  let index = 0;
+  return [...target.keys()].every((name) => {
+    if (!base.has(name)) return true;
+    index += 1;
+    return kept[index - 1] === name;
+  });
+}
+
+/**
+ * Replaces each table and entry of `next` that equals that of `base` by the one of `base`. Changes `next`,
+ * which must be newly parsed, and returns it.
+ */
+export function shareEntries(base: JsonDocument, next: JsonDocument): JsonDocument {
+  const document = next as Record<string, unknown>;
+  Object.keys(document).forEach((name) => {
+    if (Object.hasOwn(base, name)) document[name] = shareTable(base[name], document[name]);
+  });
+  return document;
+}
+
+function shareTable(base: unknown, next: unknown): unknown {
+  if (base === next || !isJsonDocument(base) || !isJsonDocument(next)) return next;
+  const table = next as Record<string, unknown>;
+  const names = Object.keys(table);
+  const baseNames = Object.keys(base);
+  let isSame = names.length === baseNames.length;
+  names.forEach((name, index) => {
+    if (Object.hasOwn(base, name) && isEqualJson(base[name], table[name])) table[name] = base[name];
+    else isSame = false;
+    if (baseNames[index] !== name) isSame = false;
+  });
+  return isSame ? base : table;
+}
+
+/** Compares parsed JSON; the order of an object's members does not count. */
+function isEqualJson(left: unknown, right: unknown): boolean {
+  if (left === right) return true;
+  if (typeof left !== 'object' || typeof right !== 'object' || left === null || right === null)
+    return false;
+  if (Array.isArray(left) || Array.isArray(right)) {
+    return (
+      Array.isArray(left) &&
+      Array.isArray(right) &&
+      left.length === right.length &&
+      left.every((value, index) => isEqualJson(value, right[index]))
+    );
+  }
+  const names = Object.keys(left);
+  return (
+    names.length === Object.keys(right).length &&
+    names.every(
+      (name) =>
+        Object.hasOwn(right, name) &&
+        isEqualJson((left as JsonDocument)[name], (right as JsonDocument)[name]),
+    )
+  );
+}
+
+/**
+ * Applies operations; the result shares with `base` what they do not touch. Fails, without a partial
+ * result, if one of them is not possible.
+ */
+export function applyOperations(
+  base: JsonDocument,
+  operations: readonly DocumentOperation[],
+): Either<Failure, JsonDocument> {
+  const members = new Map(Object.entries(base));
+  const tables = new Map<string, OpenTable>();
+  try {
+    operations.forEach((operation) => applyOperation(members, tables, operation));
+  } catch (caught) {
+    return Left({ kind: 'VersionUpdateInvalid', message: formatError(caught) });
+  }
+  tables.forEach((table, name) => members.set(name, closeTable(table)));
+  return Right(Object.fromEntries(members));
+}
+
+/** A table while operations change it. */
+interface OpenTable {
+  readonly entries: Map<string, unknown>;
+  /** Names of added entries, by the entry that each follows. */
+  readonly followers: Map<string | null, string>;
+}
+
+function applyOperation(
+  members: Map<string, unknown>,
+  tables: Map<string, OpenTable>,
+  operation: DocumentOperation,
+): void {
+  const [name, entryName, ...rest] = parsePointer(operation.path);
+  if (name === undefined) throw new Error('replaces the whole document');
+  if (entryName === undefined) {
+    const table = tables.get(name);
+    if (table !== undefined) members.set(name, closeTable(table));
+    tables.delete(name);
+    const base = members.get(name);
+    setEntry(members, name, operation);
+    if (members.has(name)) members.set(name, shareTable(base, members.get(name)));
+    return;
+  }
+  const member = members.get(name);
+  if (!isJsonDocument(member)) {
+    members.set(name, applyToValue(member, [entryName, ...rest], operation));
+    return;
+  }
+  const table = tables.get(name) ?? openTable(member);
+  tables.set(name, table);
+  if (rest.length === 0) {
+    if (operation.op === 'add' && operation.after !== undefined && !table.entries.has(entryName))
+      table.followers.set(operation.after, entryName);
+    setEntry(table.entries, entryName, operation);
+  } else {
+    table.entries.set(entryName, applyToValue(table.entries.get(entryName), rest, operation));
+  }
+}
+
+function setEntry(entries: Map<string, unknown>, name: string, operation: DocumentOperation): void {
+  const { op, path } = operation;
+  if (op !== 'add' && op !== 'replace' && op !== 'remove') throw new Error(`unknown: ${op}`);
+  if (op !== 'add' && !entries.has(name)) throw new Error(`nothing at ${path}`);
+  if (op === 'remove') entries.delete(name);
+  else if (operation.value === undefined) throw new Error(`no value for ${path}`);
+  else entries.set(name, operation.value);
+}
+
+/** Applies an operation inside a value; daemons of earlier releases send such ones. */
+function applyToValue(
+  value: unknown,
+  tokens: readonly string[],
+  operation: DocumentOperation,
+): unknown {
+  if (operation.op === 'move' || operation.op === 'copy') throw new Error(`has ${operation.op}`);
+  const copy = structuredClone(value);
+  const path = tokens.map(formatToken).join('');
+  const [fault] = applyPatch(copy, [{ ...operation, path }]);
+  if (fault !== null && fault !== undefined) throw fault;
+  return copy;
+}
+
+function openTable(table: JsonDocument): OpenTable {
+  return { entries: new Map(Object.entries(table)), followers: new Map() };
+}
+
+/** Puts each added entry behind the one that it follows. */
+function closeTable({ entries, followers }: OpenTable): JsonDocument {
+  if (followers.size === 0) return Object.fromEntries(entries);
+  const added = new Set(followers.values());
+  const ordered = new Map<string, unknown>();
+  const addFollowers = (first: string | null): void => {
+    let name = followers.get(first);
+    while (name !== undefined && entries.has(name) && !ordered.has(name)) {
+      ordered.set(name, entries.get(name));
+      name = followers.get(name);
+    }
+  };
+  addFollowers(null);
+  entries.forEach((value, name) => {
+    if (added.has(name)) return;
+    ordered.set(name, value);
+    addFollowers(name);
+  });
+  // An entry that follows an unknown one stays at the end.
+  entries.forEach((value, name) => {
+    if (!ordered.has(name)) ordered.set(name, value);
+  });
+  return Object.fromEntries(ordered);
+}
+
+function toTable(document: JsonDocument): Table {
+  return new Map(Object.entries(document));
+}
+
+/** The next part of a JSON pointer (RFC 6901). */
+function formatToken(name: string): string {
+  return `/${name.replaceAll('~', '~0').replaceAll('/', '~1')}`;
+}
+
+function parsePointer(path: string): string[] {
+  return path
+    .split('/')
+    .slice(1)
+    .map((token) => token.replaceAll('~1', '/').replaceAll('~0', '~'));
+}
--- a/packages/relay/src/CactusdealRelayPorts.ts
+++ b/packages/relay/src/CactusdealRelayPorts.ts
@@ -1,5 +1,6 @@
 import type { Failure } from '@cactusdeal/shared';
 import type { Either } from 'purify-ts';
+import type { JsonDocument } from './CactusdealRelayDocument.js';
 import type { Member, RelayConfiguration } from './CactusdealRelayTypes.js';
 
 /** Why a request to the platform failed. */
@@ -39,6 +40,11 @@
   ): Promise<Either<PlatformFault, ConfigurationReading>>;
   /** Decodes and validates a configuration; the failure says what is wrong. */
   decode(source: string): Either<Failure, RelayConfiguration>;
+  /**
+   * Does the same for a parsed configuration. Entries of its tables that are those of an earlier one need
+   * not be checked again. Optional: without it, every version is decoded from its whole text.
+   */
+  readonly decodeDocument?: (document: JsonDocument) => Either<Failure, RelayConfiguration>;
 }
 
 /** Registry through which daemons discover one another. */
--- a/packages/relay/src/CactusdealRelayRoutes.ts
+++ b/packages/relay/src/CactusdealRelayRoutes.ts
@@ -14,17 +14,29 @@
   readonly version: number;
   /** Finds the route of a `Host` field and request target; undefined if none matches. */
   match(host: string, target: string): CompiledRoute | undefined;
+  /** Compiled routes by their rules. */
+  readonly compiled: ReadonlyMap<RouteRule, CompiledRoute>;
 }
 
-/** Compiles the routes of a configuration; the longest prefix of a host wins. */
-export function buildRouteTable(configuration: RelayConfiguration): RouteTable {
+/**
+ * Compiles the routes of a configuration; the longest prefix of a host wins. Rules that are those of
+ * `previous` keep their routes, with the state for choosing among services.
+ */
+export function buildRouteTable(
+  configuration: RelayConfiguration,
+  previous?: RouteTable,
+): RouteTable {
+  const compiled = new Map<RouteRule, CompiledRoute>();
   const routesByHost = new Map<string, Map<string, CompiledRoute>>();
   configuration.routes.forEach((rule) => {
+    const route = previous?.compiled.get(rule) ?? buildRoute(rule);
+    compiled.set(rule, route);
     const prefixes = routesByHost.get(rule.host) ?? new Map<string, CompiledRoute>();
-    routesByHost.set(rule.host, prefixes.set(rule.prefix, buildRoute(rule)));
+    routesByHost.set(rule.host, prefixes.set(rule.prefix, route));
   });
   return {
     version: configuration.version,
+    compiled,
     match: (host, target) => findLongestPrefix(routesByHost.get(convertHost(host)), target),
   };
 }
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -1,4 +1,5 @@
 import type { CrashNotice } from '@cactusdeal/quarantine';
+import type { JsonDocument } from './CactusdealRelayDocument.js';
 
 /** A service that a route sends calls to, with its share of them. */
 export interface RouteDestination {
@@ -67,8 +68,10 @@
   readonly organisations: readonly OrganisationRule[] | undefined;
   /** What in the document this release does not know, with the safe meaning that it was given. */
   readonly warnings: readonly string[];
-  /** The JSON text that it was decoded from. */
+  /** The JSON text that it was decoded from, or an equal one. */
   readonly source: string;
+  /** What it was decoded from, parsed; undefined if the source of configurations has only texts. */
+  readonly document?: JsonDocument | undefined;
 }
 
 /**
--- a/packages/relay/src/__tests__/unit/CactusdealRelayRoutes.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRoutes.test.ts
@@ -33,6 +33,25 @@
   });
 });
 
+describe('route table of the next version', () => {
+  it('keeps the turns of a rule that is the same, and no others', () => {
+    const destinations = ['a', 'b'].map((service) => ({ service, weight: 1 }));
+    const [kept, changed] = ['/x/', '/y/'].map((prefix) => buildRule({ prefix, destinations }));
+    assert.ok(kept !== undefined && changed !== undefined);
+    const first = buildRouteTable(buildConfiguration([kept, changed]));
+    ['/x/', '/y/'].forEach((path) =>
+      assert.equal(first.match(kept.host, path)?.pickService(), 'a'),
+    );
+    const next = buildRouteTable(
+      buildConfiguration([kept, { ...changed, timeoutMs: 1 }], 2),
+      first,
+    );
+    assert.equal(next.match(kept.host, '/x/')?.pickService(), 'b');
+    assert.equal(next.match(kept.host, '/y/')?.pickService(), 'a');
+    assert.equal(next.match(kept.host, '/y/')?.rule.timeoutMs, 1);
+  });
+});
+
 const splits: readonly [weights: readonly number[], calls: number, expected: readonly number[]][] =
   [
     [[1], 10, [10]],
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,3 +1,4 @@
+export { type JsonDocument } from './CactusdealRelayDocument.js';
 export { findField } from './CactusdealRelayHeaders.js';
 export { parseMember } from './CactusdealRelayMemberRecord.js';
 export {
@@ -18,4 +19,5 @@
   type RouteRule,
   type Upstream,
 } from './CactusdealRelayTypes.js';
+export { createVersionHistory } from './CactusdealRelayVersionHistory.js';
 export { type Relay, type RelayOptions, startRelay } from './CactusdealRelayWiring.js';
