Compare and patch documents without copying them into maps

Cause: a profile of versions showed the building of maps and JSON pointers for all 2,200 entries. Change: tables are compared through their keys; pointers are formatted for what differs only.

--- a/packages/relay/src/CactusdealRelayDocument.ts
+++ b/packages/relay/src/CactusdealRelayDocument.ts
@@ -15,8 +15,6 @@
  */
 export type DocumentOperation = Operation & { readonly after?: string | null };
 
-type Table = ReadonlyMap<string, unknown>;
-
 export function isJsonDocument(value: unknown): value is JsonDocument {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
@@ -26,15 +24,13 @@
  * both share.
  */
 export function diffDocuments(base: JsonDocument, target: JsonDocument): DocumentOperation[] {
-  return diffTable(toTable(base), toTable(target), '', diffMember);
+  return diffTable(base, target, '', diffMember);
 }
 
 function diffMember(before: unknown, after: unknown, path: string): readonly DocumentOperation[] {
-  if (before === after) return [];
   if (!isJsonDocument(before) || !isJsonDocument(after)) return diffEntry(before, after, path);
-  const [left, right] = [toTable(before), toTable(after)];
-  if (!hasSameOrder(left, right)) return [{ op: 'replace', path, value: after }];
-  return diffTable(left, right, path, diffEntry);
+  if (!hasSameOrder(before, after)) return [{ op: 'replace', path, value: after }];
+  return diffTable(before, after, path, diffEntry);
 }
 
 function diffEntry(before: unknown, after: unknown, path: string): readonly DocumentOperation[] {
@@ -42,33 +38,36 @@
 }
 
 function diffTable(
-  base: Table,
-  target: Table,
+  base: JsonDocument,
+  target: JsonDocument,
   path: string,
   diff: typeof diffEntry,
 ): DocumentOperation[] {
   const operations: DocumentOperation[] = [];
-  base.forEach((_, name) => {
-    if (!target.has(name)) operations.push({ op: 'remove', path: path + formatToken(name) });
+  Object.keys(base).forEach((name) => {
+    if (!Object.hasOwn(target, name))
+      operations.push({ op: 'remove', path: path + formatToken(name) });
   });
   let previous: string | null = null;
-  target.forEach((value, name) => {
-    const entryPath = path + formatToken(name);
-    if (base.has(name)) operations.push(...diff(base.get(name), value, entryPath));
-    else operations.push({ op: 'add', path: entryPath, value, after: previous });
+  Object.keys(target).forEach((name) => {
+    const value = target[name];
+    if (!Object.hasOwn(base, name))
+      operations.push({ op: 'add', path: path + formatToken(name), value, after: previous });
+    else if (base[name] !== value)
+      operations.push(...diff(base[name], value, path + formatToken(name)));
     previous = name;
   });
   return operations;
 }
 
-/** Whether the entries of both tables follow one another in the same order. */
-function hasSameOrder(base: Table, target: Table): boolean {
-  const kept = [...base.keys()].filter((name) => target.has(name));
+/** Whether the entries that both tables have follow one another in the same order. */
+function hasSameOrder(base: JsonDocument, target: JsonDocument): boolean {
+  const kept = Object.keys(base).filter((name) => Object.hasOwn(target, name));
   let index = 0;
-  return [...target.keys()].every((name) => {
-    if (!base.has(name)) return true;
-    index += 1;
-    return kept[index - 1] === name;
+  return Object.keys(target).every((name) => {
+    if (kept[index] === name) index += 1;
+    else if (Object.hasOwn(base, name)) return false;
+    return true;
   });
 }
 
@@ -130,26 +129,26 @@
   base: JsonDocument,
   operations: readonly DocumentOperation[],
 ): Either<Failure, JsonDocument> {
-  const members = new Map(Object.entries(base));
+  const members = { ...base };
   const tables = new Map<string, OpenTable>();
   try {
     operations.forEach((operation) => applyOperation(members, tables, operation));
   } catch (caught) {
     return Left({ kind: 'VersionUpdateInvalid', message: formatError(caught) });
   }
-  tables.forEach((table, name) => members.set(name, closeTable(table)));
-  return Right(Object.fromEntries(members));
+  tables.forEach((table, name) => setOwn(members, name, closeTable(table)));
+  return Right(members);
 }
 
 /** A table while operations change it. */
 interface OpenTable {
-  readonly entries: Map<string, unknown>;
+  readonly entries: Record<string, unknown>;
   /** Names of added entries, by the entry that each follows. */
   readonly followers: Map<string | null, string>;
 }
 
 function applyOperation(
-  members: Map<string, unknown>,
+  members: Record<string, unknown>,
   tables: Map<string, OpenTable>,
   operation: DocumentOperation,
 ): void {
@@ -157,36 +156,55 @@
   if (name === undefined) throw new Error('replaces the whole document');
   if (entryName === undefined) {
     const table = tables.get(name);
-    if (table !== undefined) members.set(name, closeTable(table));
+    if (table !== undefined) setOwn(members, name, closeTable(table));
     tables.delete(name);
-    const base = members.get(name);
+    const base = Object.hasOwn(members, name) ? members[name] : undefined;
     setEntry(members, name, operation);
-    if (members.has(name)) members.set(name, shareTable(base, members.get(name)));
+    if (operation.op !== 'remove') setOwn(members, name, shareTable(base, members[name]));
     return;
   }
-  const member = members.get(name);
+  const member = Object.hasOwn(members, name) ? members[name] : undefined;
   if (!isJsonDocument(member)) {
-    members.set(name, applyToValue(member, [entryName, ...rest], operation));
+    setOwn(members, name, applyToValue(member, [entryName, ...rest], operation));
     return;
   }
-  const table = tables.get(name) ?? openTable(member);
+  const table = tables.get(name) ?? { entries: { ...member }, followers: new Map() };
   tables.set(name, table);
+  const isKnown = Object.hasOwn(table.entries, entryName);
   if (rest.length === 0) {
-    if (operation.op === 'add' && operation.after !== undefined && !table.entries.has(entryName))
+    if (operation.op === 'add' && operation.after !== undefined && !isKnown)
       table.followers.set(operation.after, entryName);
     setEntry(table.entries, entryName, operation);
   } else {
-    table.entries.set(entryName, applyToValue(table.entries.get(entryName), rest, operation));
+    const entry = isKnown ? table.entries[entryName] : undefined;
+    setOwn(table.entries, entryName, applyToValue(entry, rest, operation));
   }
 }
 
-function setEntry(entries: Map<string, unknown>, name: string, operation: DocumentOperation): void {
+function setEntry(
+  entries: Record<string, unknown>,
+  name: string,
+  operation: DocumentOperation,
+): void {
   const { op, path } = operation;
   if (op !== 'add' && op !== 'replace' && op !== 'remove') throw new Error(`unknown: ${op}`);
-  if (op !== 'add' && !entries.has(name)) throw new Error(`nothing at ${path}`);
-  if (op === 'remove') entries.delete(name);
+  if (op !== 'add' && !Object.hasOwn(entries, name)) throw new Error(`nothing at ${path}`);
+  if (op === 'remove') Reflect.deleteProperty(entries, name);
   else if (operation.value === undefined) throw new Error(`no value for ${path}`);
-  else entries.set(name, operation.value);
+  else setOwn(entries, name, operation.value);
+}
+
+/** Sets a property of the object itself, also for the name of its prototype. */
+function setOwn(object: Record<string, unknown>, name: string, value: unknown): void {
+  const target = object;
+  if (name !== '__proto__') target[name] = value;
+  else
+    Object.defineProperty(target, name, {
+      value,
+      writable: true,
+      enumerable: true,
+      configurable: true,
+    });
 }
 
 /** Applies an operation inside a value; daemons of earlier releases send such ones. */
@@ -203,37 +221,27 @@
   return copy;
 }
 
-function openTable(table: JsonDocument): OpenTable {
-  return { entries: new Map(Object.entries(table)), followers: new Map() };
-}
-
 /** Puts each added entry behind the one that it follows. */
 function closeTable({ entries, followers }: OpenTable): JsonDocument {
-  if (followers.size === 0) return Object.fromEntries(entries);
+  if (followers.size === 0) return entries;
   const added = new Set(followers.values());
-  const ordered = new Map<string, unknown>();
+  const names = new Set<string>();
   const addFollowers = (first: string | null): void => {
     let name = followers.get(first);
-    while (name !== undefined && entries.has(name) && !ordered.has(name)) {
-      ordered.set(name, entries.get(name));
+    while (name !== undefined && Object.hasOwn(entries, name) && !names.has(name)) {
+      names.add(name);
       name = followers.get(name);
     }
   };
   addFollowers(null);
-  entries.forEach((value, name) => {
+  Object.keys(entries).forEach((name) => {
     if (added.has(name)) return;
-    ordered.set(name, value);
+    names.add(name);
     addFollowers(name);
   });
   // An entry that follows an unknown one stays at the end.
-  entries.forEach((value, name) => {
-    if (!ordered.has(name)) ordered.set(name, value);
-  });
-  return Object.fromEntries(ordered);
-}
-
-function toTable(document: JsonDocument): Table {
-  return new Map(Object.entries(document));
+  Object.keys(entries).forEach((name) => names.add(name));
+  return Object.fromEntries([...names].map((name) => [name, entries[name]]));
 }
 
 /** The next part of a JSON pointer (RFC 6901). */
