--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,3 +1,4 @@
+export { type JsonDocument } from './CactusdealRelayDocument.js';
 export { findField } from './CactusdealRelayHeaders.js';
 export { parseMember } from './CactusdealRelayMemberRecord.js';
 export {
@@ -20,4 +21,5 @@
   type Upstream,
 } from './CactusdealRelayTypes.js';
 export { NO_ERA, parseEra } from './CactusdealRelayStoreEra.js';
+export { createVersionHistory } from './CactusdealRelayVersionHistory.js';
 export { type Relay, type RelayOptions, startRelay } from './CactusdealRelayWiring.js';
