Reject answers without a length that end before their request is written

Cause: the HTTP client takes the end of a connection for the end of an answer without a length, even while the request is still being written. The pool only noted resets, which an orderly end before the reset hides. Statuses 600 and 999 were passed on as well, and a connection whose answer came before the rest of its request was used again, with that rest in front of the next request.

An answer that ends with its connection is valid only after an orderly end with an empty write queue, and without a failed write after it. 204, 304 and answers to HEAD do not end with their connection. A connection with unwritten bytes is not used again.

--- a/packages/relay/src/CactusdealRelayUpstream.ts
+++ b/packages/relay/src/CactusdealRelayUpstream.ts
@@ -132,7 +132,10 @@
   }
 
   function releaseConnection(connection: Connection): void {
-    const isReusable = connection.state.isNamed && options.clock() >= noReuseUntilMs;
+    const { isNamed, socket } = connection.state;
+    // The rest of a request that was answered early would be in front of the next request.
+    const isWritten = socket?.writableLength === 0;
+    const isReusable = isNamed && isWritten && options.clock() >= noReuseUntilMs;
     if (!isReusable) discard(connection);
     else if (openConnections.has(connection)) idleConnections.push(connection);
   }
--- a/packages/relay/src/CactusdealRelayUpstreamAnswer.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamAnswer.ts
@@ -2,6 +2,8 @@
   type ByteBudget,
   type ChunkPacer,
   createByteCollector,
+  explainInvalidStatus,
+  isEndedByClose,
   type SourcePace,
 } from '@cactusdeal/shared';
 import type { Dispatcher } from 'undici';
@@ -44,6 +46,11 @@
       startCounts(state);
     },
     onResponseStart: (controller, statusCode) => {
+      const fault = explainInvalidStatus(statusCode);
+      if (fault !== undefined) {
+        controller.abort(new Error(fault));
+        return;
+      }
       if (statusCode < 200) {
         interimResponses += 1;
         if (interimResponses > MAX_INTERIM_RESPONSES)
@@ -52,9 +59,9 @@
       }
       status = statusCode;
       headers = decodeHeaders(controller.rawHeaders as Buffer[]);
-      state.endsWithConnection =
-        findField(headers, 'content-length') === undefined &&
-        findField(headers, 'transfer-encoding') === undefined;
+      state.endsWithConnection = isEndedByClose(request.method, status, (name) =>
+        findField(headers, name),
+      );
       const echoed = findField(headers, idField);
       state.isNamed = echoed !== undefined && echoed === request.id;
       // An answer without a name may be a copy of one to an earlier request of the connection.
@@ -83,10 +90,10 @@
   };
 
   function finishAnswer(): void {
-    // The HTTP client takes a reset for the regular end of an answer that ends with its connection.
-    if (state.isReset) {
+    const fault = state.endsWithConnection ? state.end?.explainTruncation() : undefined;
+    if (fault !== undefined) {
       body.discard();
-      settle({ type: 'broken', message: 'connection was reset before the end of the answer' });
+      settle({ type: 'broken', message: fault });
       return;
     }
     settle({ type: 'answered', answer: { status, headers, body: body.take() } });
--- a/packages/relay/src/CactusdealRelayUpstreamSocket.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamSocket.ts
@@ -1,16 +1,13 @@
 import { connect, type Socket } from 'node:net';
-import { parseAddress } from '@cactusdeal/shared';
+import { type ConnectionEndWatch, parseAddress, watchConnectionEnd } from '@cactusdeal/shared';
 
 /** What is known of a connection to the upstream beyond what the HTTP client tells. */
 export interface ConnectionState {
   /** Undefined until it is connected. */
   socket: Socket | undefined;
-  /** Whether the upstream has reset the connection. */
-  isReset: boolean;
-  /**
-   * Whether the current answer has neither a length nor chunks, so that it ends with the
-   * connection.
-   */
+  /** Undefined until it is connected. */
+  end: ConnectionEndWatch | undefined;
+  /** Whether the current answer ends with the connection. */
   endsWithConnection: boolean;
   /** Requests sent on the connection, with the current one. */
   requests: number;
@@ -30,7 +27,7 @@
 export function createConnectionState(): ConnectionState {
   return {
     socket: undefined,
-    isReset: false,
+    end: undefined,
     endsWithConnection: false,
     requests: 0,
     isNamed: false,
@@ -45,6 +42,7 @@
   state.requests += 1;
   state.bytesBefore = state.socket?.bytesRead ?? 0;
   state.bodyBytes = 0;
+  state.endsWithConnection = false;
 }
 
 /**
@@ -65,9 +63,8 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const RESET_CODES: readonly string[] = ['ECONNRESET', 'EPIPE'];
 
-/** Opens a socket and records a reset by the upstream in `connectionState`. */
+/** Opens a socket and watches its end for `connectionState`. */
 export function openSocket(
   address: string,
   connectionState: ConnectionState,
@@ -85,14 +82,10 @@
   );
   let isOpen = false;
   socket.on('error', (error) => {
-    recordReset(state, error);
     clearTimeout(timer);
     if (!isOpen) callback(error, null);
   });
-  socket.on('end', () => {
-    if (state.endsWithConnection) probeReset(socket, state);
-    else socket.end();
-  });
+  state.end = watchConnectionEnd(socket, () => state.endsWithConnection);
   socket.on('connect', () => {
     isOpen = true;
     state.socket = socket;
@@ -100,18 +93,3 @@
     callback(null, socket);
   });
 }
-
-/**
- * Detects a reset by writing: the runtime reports a reset that arrives together with data as an
- * orderly end, but a write after a reset fails at once. HTTP servers ignore an empty line before a
- * request, so the write is harmless otherwise.
- */
-function probeReset(socket: Socket, connectionState: ConnectionState): void {
-  socket.write('\r\n', (error) => recordReset(connectionState, error));
-}
-
-function recordReset(connectionState: ConnectionState, error: Error | null | undefined): void {
-  const state = connectionState;
-  const { code = '' } = (error ?? {}) as { code?: string };
-  if (RESET_CODES.includes(code)) state.isReset = true;
-}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -47,5 +47,11 @@
 } from './CactusdealSharedPauseWatch.js';
 export { probeAddress } from './CactusdealSharedProbe.js';
 export { createSeededRandom, pickRandom, type Random } from './CactusdealSharedRandom.js';
+export {
+  type ConnectionEndWatch,
+  explainInvalidStatus,
+  isEndedByClose,
+  watchConnectionEnd,
+} from './CactusdealSharedResponseRules.js';
 export { waitForStopSignal } from './CactusdealSharedStopSignal.js';
 export { type Clock, getMonotonicMs, getWallTimeMs, waitMs } from './CactusdealSharedTime.js';
