Bound the time until a restored store shows at a silent primary

After each failure all was read again, which costs hundreds of kilobytes while a store turns requests away.

Change: a primary waits 1.5 s at a store that names its era. After a failure a watch of 50 ms asks for the era before a position is used again.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -13,10 +13,11 @@
   EraOrigin,
   isPositionUsable,
   checkReading,
+  chooseWatch,
   NO_ERA,
   ReadingVerdict,
-  shouldKeepPosition,
   type StoreEra,
+  WatchKind,
   type WatchPosition,
 } from './CactusdealRelayStoreEra.js';
 import type { Member, RelayConfiguration } from './CactusdealRelayTypes.js';
@@ -69,6 +70,13 @@
 const READERS_PER_DATA_CENTRE = 2;
 /** Longest wait of one watch request; bounds the time in which a connection may go silent. */
 const WATCH_MS = 2_500;
+/**
+ * The same at a store that may be restored: two watches may pass until that shows, one on a connection from
+ * before and one from a revision that was assigned again. New versions have to be in force after 4 s.
+ */
+const RESTORABLE_WATCH_MS = 1_500;
+/** Wait of a watch that only asks for the era. */
+const CHECK_WATCH_MS = 50;
 /** The same for a standby, which becomes the primary as soon as that one fails. */
 const STANDBY_WATCH_MS = 25_000;
 /** Pause before the next watch, so that versions in quick succession are read together. */
@@ -122,6 +130,12 @@
   /** Ends the watch in progress. */
   private watchCut = new AbortController();
 
+  /** Position of the next watch; undefined to read everything. */
+  private position: WatchPosition | undefined;
+
+  /** Whether the last request failed or was cut. */
+  private isDoubtful = false;
+
   public constructor(private readonly options: ConfigurationsOptions) {
     options.storeEra.subscribe(() => this.watchCut.abort());
   }
@@ -214,31 +228,27 @@
 
   public async run(members: Members): Promise<void> {
     const { signal } = this.stop;
-    let position: WatchPosition | undefined;
     let backoffMs = MIN_BACKOFF_MS;
     while (!signal.aborted) {
       const role = this.findRole(members);
       if (role === ReaderRole.None) {
-        position = undefined;
+        this.position = undefined;
         await waitMs(ROLE_CHECK_MS, signal);
         continue;
       }
-      if (position !== undefined && !isPositionUsable(position, this.options.storeEra.get()))
-        position = undefined;
-      const reading = await this.readPlatform(position, role, members);
+      const reading = await this.readPlatform(role, members);
       if (signal.aborted) return;
-      if (reading === 'cut') continue;
-      const held = position;
-      const next = reading.chain((found) => this.useReading(found, held));
-      if (next.isRight()) {
+      const used = reading === 'cut' ? reading : reading.chain((found) => this.useReading(found));
+      this.isDoubtful = used === 'cut' || used.isLeft();
+      if (used === 'cut') continue;
+      if (used.isRight()) {
         backoffMs = MIN_BACKOFF_MS;
-        position = next.unsafeCoerce();
         const pauseMs = role === ReaderRole.Standby ? STANDBY_COALESCE_MS : COALESCE_MS;
-        const { sources } = reading.unsafeCoerce();
-        if (sources.length > 0 && position !== undefined) await waitMs(pauseMs, signal);
+        const { sources } = used.unsafeCoerce();
+        if (sources.length > 0 && this.position !== undefined) await waitMs(pauseMs, signal);
         continue;
       }
-      position = this.handleFault(next.swap().unsafeCoerce(), position);
+      this.handleFault(used.swap().unsafeCoerce());
       await waitMs(backoffMs * (0.5 + this.options.random()), signal);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
     }
@@ -249,39 +259,48 @@
    * standby also as soon as it is not the standby any more.
    */
   private async readPlatform(
-    position: WatchPosition | undefined,
     role: ReaderRole,
     members: Members,
   ): Promise<Awaited<ReturnType<ConfigurationSource['read']>> | 'cut'> {
-    const { source } = this.options;
-    if (position === undefined) return source.read();
+    const { source, storeEra } = this.options;
+    const { position } = this;
+    if (position === undefined || !isPositionUsable(position, storeEra.get())) {
+      this.position = undefined;
+      return source.read();
+    }
     const { revision } = position;
     this.watchCut = new AbortController();
     const { signal: cut } = this.watchCut;
+    const watchMs = this.getWatchMs(role);
     if (role === ReaderRole.Primary) {
-      const reading = await source.watch(revision, WATCH_MS, cut);
+      const reading = await source.watch(revision, watchMs, cut);
       return cut.aborted ? 'cut' : reading;
     }
     const timer = setInterval(() => {
       if (this.findRole(members) !== role) this.watchCut.abort();
     }, ROLE_CHECK_MS);
     this.isStandby = true;
-    const reading = await source.watch(revision, STANDBY_WATCH_MS, cut);
+    const reading = await source.watch(revision, watchMs, cut);
     this.isStandby = false;
     clearInterval(timer);
     return cut.aborted ? 'cut' : reading;
   }
 
+  private getWatchMs(role: ReaderRole): number {
+    const kind = chooseWatch(this.options.storeEra.get(), this.isDoubtful);
+    if (kind === WatchKind.Check) return CHECK_WATCH_MS;
+    if (role === ReaderRole.Standby) return STANDBY_WATCH_MS;
+    return kind === WatchKind.Restorable ? RESTORABLE_WATCH_MS : WATCH_MS;
+  }
+
   /**
-   * Applies what was read, also from before a restore, as versions only rise. Returns the position from
-   * which to watch, undefined to read everything at once.
+   * Applies what was read, also from before a restore, as versions only rise, and sets the position from
+   * which to watch.
    */
-  private useReading(
-    { sources, revision, era = NO_ERA }: ConfigurationReading,
-    position: WatchPosition | undefined,
-  ): Either<PlatformFault, WatchPosition | undefined> {
+  private useReading(reading: ConfigurationReading): Either<PlatformFault, ConfigurationReading> {
     const { storeEra } = this.options;
-    const verdict = checkReading(era, storeEra.get(), position);
+    const { sources, revision, era = NO_ERA } = reading;
+    const verdict = checkReading(era, storeEra.get(), this.position);
     if (verdict === ReadingVerdict.Outdated) {
       this.applySources(sources);
       const message = `era ${era}, known: ${storeEra.get()}`;
@@ -290,7 +309,8 @@
     storeEra.record(era, EraOrigin.Platform);
     this.recordRead();
     this.applySources(sources);
-    return Right(verdict === ReadingVerdict.Continue ? { revision, era } : undefined);
+    this.position = verdict === ReadingVerdict.Continue ? { revision, era } : undefined;
+    return Right(reading);
   }
 
   private applySources(sources: ConfigurationReading['sources']): void {
@@ -306,24 +326,17 @@
     }
   }
 
-  /**
-   * Logs a failed read; returns the position to continue from, or undefined to read everything
-   * again.
-   */
-  private handleFault(
-    fault: PlatformFault,
-    position: WatchPosition | undefined,
-  ): WatchPosition | undefined {
-    const { storeEra } = this.options;
-    storeEra.record(fault.era ?? NO_ERA, EraOrigin.Platform);
-    if (fault.kind === PlatformFaultKind.Gone) return undefined;
+  private handleFault(fault: PlatformFault): void {
+    this.options.storeEra.record(fault.era ?? NO_ERA, EraOrigin.Platform);
+    if (fault.kind === PlatformFaultKind.Gone) {
+      this.position = undefined;
+      return;
+    }
     const isLost = this.lastReadAtMs !== undefined;
     this.lastReadAtMs = undefined;
-    if (isLost) {
-      this.options.log.warn('platform-lost', { kind: fault.kind, message: fault.message });
-      this.options.observePlatform();
-    }
-    return shouldKeepPosition(storeEra.get()) ? position : undefined;
+    if (!isLost) return;
+    this.options.log.warn('platform-lost', { kind: fault.kind, message: fault.message });
+    this.options.observePlatform();
   }
 
   private findRole(members: Members): ReaderRole {
--- a/packages/relay/src/CactusdealRelayStoreEra.ts
+++ b/packages/relay/src/CactusdealRelayStoreEra.ts
@@ -83,12 +83,25 @@
   return position.era === knownEra;
 }
 
+/** Watches of a reader by their waits. */
+export const WatchKind = {
+  /** A plain watch, of a store that names no era. */
+  Plain: 'plain',
+  /** A watch of a store that may be restored while it waits. */
+  Restorable: 'restorable',
+  /** A watch that only asks for the era. */
+  Check: 'check',
+} as const;
+export type WatchKind = (typeof WatchKind)[keyof typeof WatchKind];
+
 /**
- * Whether a reader continues from its position after a failed request. A store that names its era may have
- * been restored meanwhile, and a watch from a revision that it has assigned again may wait 25 s for nothing.
+ * Chooses the next watch from a usable position; `isDoubtful` if the last request failed or was cut. The
+ * store may have been restored meanwhile, and a watch from a revision that it has assigned again waits for
+ * nothing. Reading everything each time would take hundreds of kilobytes while the store turns requests away.
  */
-export function shouldKeepPosition(knownEra: number): boolean {
-  return knownEra === NO_ERA;
+export function chooseWatch(knownEra: number, isDoubtful: boolean): WatchKind {
+  if (knownEra === NO_ERA) return WatchKind.Plain;
+  return isDoubtful ? WatchKind.Check : WatchKind.Restorable;
 }
 
 /**
