--- a/packages/relay/src/__tests__/unit/CactusdealRelayStoreRestored.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayStoreRestored.test.ts
@@ -39,6 +39,7 @@
       decode: (text) => Right({ ...buildConfiguration([buildRule()], Number(text)), source: text }),
     },
     observe: () => {},
+    recordRejection: () => {},
     observePlatform: () => {},
   });
   void configurations.run({ list: () => peers } as unknown as Members);
