Keep callers' bodies within the memory of the host

Cause: the limits of the parts of a daemon (64 MB of callers' bodies, 96 MB of messages, 64 MB of answers) add up to more than a host of 250 MB has, and each byte is held in copies: bodies are put together, encoded and copied into a frame. A body of a call from a link was not counted once it was complete. A body without room was read on up to twice its limit. Pausing a request did not hold: a resumption that the runtime had scheduled undid it, so that the whole body was read.

A body without room waits up to 1 s with its socket unread; one that stands still for 300 ms, or else the last one that waits, is refused with 503 in favour of an older one. Large bodies are written to links without a copy.

--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -5,13 +5,13 @@
   type ByteBudget,
   type ChunkPacer,
   type Clock,
-  createByteBudget,
   type DeferredTasks,
   type Log,
   parseAddress,
 } from '@cactusdeal/shared';
 import { type ReadBody, readBody } from './CactusdealRelayBody.js';
 import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
+import { type BodyRoom, createBodyRoom } from './CactusdealRelayBodyRoom.js';
 import { findField, selectEndToEnd } from './CactusdealRelayHeaders.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
 import {
@@ -59,6 +59,10 @@
   readonly clock: Clock;
   readonly pacer: ChunkPacer;
   readonly log: Log;
+  /** Room for the bodies of callers' calls, from their arrival to their end. */
+  readonly callerBytes: ByteBudget;
+  /** Called for each body that is refused because others have taken the memory. */
+  readonly recordEviction: () => void;
   /** Whether the upstream on this host is running the call with this id. */
   readonly isRunning: (callId: string) => boolean;
   /**
@@ -82,9 +86,7 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 /** Limit of the time that a caller may ask for, and the default if it names none. */
 const MAX_DEADLINE_MS = 600_000;
-/** Most bytes of bodies that callers' calls hold together, from their arrival to their end. */
-const MAX_HELD_BYTES = 64 * 1024 * 1024;
-/** Bytes of each body that do not count among them. */
+/** Bytes of each body that do not count among those that all hold together. */
 const RESERVED_BYTES = 16 * 1024;
 /** Retry-after while the bodies of other calls leave no memory. */
 const NO_MEMORY_RETRY_MS = 300;
@@ -128,7 +130,9 @@
   /** Time for a body of a call without a route, in milliseconds. */
   private idleTimeoutMs = MAX_DEADLINE_MS;
 
-  private readonly heldBytes: ByteBudget = createByteBudget(MAX_HELD_BYTES);
+  private readonly heldBytes: ByteBudget;
+
+  private readonly bodyRoom: BodyRoom;
 
   private activeCalls = 0;
 
@@ -142,6 +146,8 @@
 
   public constructor(private readonly options: EntryOptions) {
     const { names, log, getRoutes } = options;
+    this.heldBytes = options.callerBytes;
+    this.bodyRoom = createBodyRoom(this.heldBytes, options.clock, options.recordEviction);
     this.strippedFields = new Set([names.deadline, names.upstreamId, names.callerService]);
     this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
@@ -193,7 +199,7 @@
   private readBody(request: IncomingMessage): Promise<ReadBody> {
     return readBody(request, () => ({
       maxBytes: this.maxBodyBytes,
-      budget: this.heldBytes,
+      enterRoom: (refuse) => this.bodyRoom.enter(refuse),
       reservedBytes: RESERVED_BYTES,
       pacer: this.options.pacer,
       timeoutMs: this.computeBodyTimeoutMs(request),
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -12,6 +12,8 @@
   recordInterruption(): void;
   /** Counts a call that was cancelled. */
   recordCancelled(stage: CallStage): void;
+  /** Counts a body of a caller that was refused because others had taken the memory. */
+  recordEviction(): void;
   recordPause(pause: Pause): void;
   /** Renders the metrics in the text exposition format. */
   render(): Promise<string>;
@@ -65,6 +67,11 @@
     labelNames: ['stage'],
     registers,
   });
+  const evictions = new Counter({
+    name: 'cactusdeal_bodies_evicted_total',
+    help: 'Bodies of callers that were refused because others had taken the memory',
+    registers,
+  });
   const pauses = new Histogram({
     name: 'cactusdeal_event_loop_pause_seconds',
     help: 'Times of 0.1 s and more in which the daemon handled nothing',
@@ -104,6 +111,7 @@
     recordSent: (isNested) => sentCalls.inc({ nested: String(isNested) }),
     recordInterruption: () => interruptions.inc(),
     recordCancelled: (stage) => cancelledCalls.inc({ stage }),
+    recordEviction: () => evictions.inc(),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     render: () => registry.metrics(),
   };
--- a/packages/relay/src/CactusdealRelayPeerLink.ts
+++ b/packages/relay/src/CactusdealRelayPeerLink.ts
@@ -7,7 +7,7 @@
   parseAddress,
   waitMs,
 } from '@cactusdeal/shared';
-import { createMessageReader, encodeMessage, type Message } from './CactusdealRelayFrames.js';
+import { createMessageReader, encodeParts, type Message } from './CactusdealRelayFrames.js';
 import type { Member } from './CactusdealRelayTypes.js';
 
 /** The connection to another daemon, opened again whenever it ends. */
@@ -139,7 +139,7 @@
   }
 
   public write(message: Message): void {
-    this.socket?.write(encodeMessage(message));
+    encodeParts(message).forEach((part) => this.socket?.write(part));
   }
 
   public fail(reason: string): void {
