--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -22,6 +22,8 @@
   recordRejection(): void;
   /** Counts what this release does not know in a version that came into force. */
   recordWarnings(count: number): void;
+  /** Counts a body of a caller that was refused because others had taken the memory. */
+  recordEviction(): void;
   recordPause(pause: Pause): void;
   recordOverQuota(organisation: string): void;
   /** Renders the metrics in the text exposition format. */
@@ -100,6 +102,11 @@
     help: 'What this release does not know in versions that came into force',
     registers,
   });
+  const evictions = new Counter({
+    name: 'cactusdeal_bodies_evicted_total',
+    help: 'Bodies of callers that were refused because others had taken the memory',
+    registers,
+  });
   const pauses = new Histogram({
     name: 'cactusdeal_event_loop_pause_seconds',
     help: 'Times of 0.1 s and more in which the daemon handled nothing',
@@ -149,6 +156,7 @@
     recordReordered: () => reorderedCalls.inc(),
     recordRejection: () => rejections.inc(),
     recordWarnings: (count) => warnings.inc(count),
+    recordEviction: () => evictions.inc(),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     recordOverQuota: (organisation) => quotas.recordRefusal(organisation),
     render: () => registry.metrics(),
--- a/packages/relay/src/__tests__/unit/CactusdealRelayApiKeys.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayApiKeys.test.ts
@@ -2,6 +2,7 @@
 import { Agent, type IncomingMessage } from 'node:http';
 import { after, before, beforeEach, describe, it } from 'node:test';
 import {
+  createByteBudget,
   createChunkPacer,
   createDeferredTasks,
   createSilentLog,
@@ -213,6 +214,8 @@
         close: () => {},
       },
       recordOverQuota: () => {},
+      callerBytes: createByteBudget(1_000_000),
+      recordEviction: () => {},
     });
   });
   after(() => entry.close());
