Keep what an entry knows of a gate in a module of its own

Change: CactusdealRelayKnownGate holds the last report, the calls sent since, refusals and latency, and builds the view that the choice of a gate compares. Behaviour is unchanged.

--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -6,9 +6,9 @@
   createByteCollector,
   type Log,
 } from '@cactusdeal/shared';
-import type { GateView, Refusal } from './CactusdealRelayBalancer.js';
+import type { GateView } from './CactusdealRelayBalancer.js';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
-import { createGateLatency, type GateLatency } from './CactusdealRelayGateLatency.js';
+import { createKnownGate, type KnownGate } from './CactusdealRelayKnownGate.js';
 import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
 import {
   type Attempt,
@@ -17,7 +17,6 @@
   type CrashNoticeExchange,
   type DepartureExchange,
   type GateCall,
-  type GateReport,
   type LimitExchange,
   type Member,
   NotRunReason,
@@ -30,6 +29,7 @@
   parseDeparture,
   parseEnd,
   parseHello,
+  parseNews,
   parsePiece,
   parseReport,
   parseStatus,
@@ -146,19 +146,10 @@
 
   private readonly pendingCalls = new Map<number, PendingCall>();
 
-  private report: GateReport | undefined;
-
-  private reportedAtMs = 0;
-
-  private unreportedCalls = 0;
+  private readonly gate: KnownGate;
 
   private avoidedUntilMs = 0;
 
-  private readonly latency: GateLatency;
-
-  /** The gate's last refusal because it was busy, by kind of call. */
-  private readonly refusals = new Map<string, Refusal>();
-
   private status: (Status & { readonly atMs: number }) | undefined;
 
   private nextId = 1;
@@ -170,7 +161,7 @@
 
   public constructor(private readonly options: PeerOptions) {
     this.member = options.member;
-    this.latency = createGateLatency(options.clock);
+    this.gate = createKnownGate(options.member.id, options.clock);
     this.link = createPeerLink({
       member: options.member,
       clock: options.clock,
@@ -199,27 +190,13 @@
   }
 
   public getService(): string | undefined {
-    return this.isConnected() ? this.report?.service : undefined;
+    return this.isConnected() ? this.gate.getService() : undefined;
   }
 
   public getView(kind: string, estimateCapMs: number): GateView | undefined {
-    if (!this.isConnected() || this.report === undefined) return undefined;
-    const { report, reportedAtMs, unreportedCalls } = this;
+    if (!this.isConnected()) return undefined;
     const avoidedUntilMs = this.isSuspect() ? Infinity : this.avoidedUntilMs;
-    const serviceMs = this.latency.getServiceMs(kind) ?? Math.min(report.serviceMs, estimateCapMs);
-    const overheadMs = this.latency.getOverheadMs();
-    const refusal = this.refusals.get(kind);
-    return {
-      memberId: this.member.id,
-      isOwn: false,
-      report,
-      reportedAtMs,
-      unreportedCalls,
-      avoidedUntilMs,
-      refusal,
-      serviceMs,
-      overheadMs,
-    };
+    return this.gate.getView(kind, estimateCapMs, avoidedUntilMs);
   }
 
   public getStatus(): (Status & { readonly atMs: number }) | undefined {
@@ -237,10 +214,8 @@
   }
 
   private endLink(): void {
-    this.report = undefined;
+    this.gate.forget();
     this.status = undefined;
-    this.unreportedCalls = 0;
-    this.refusals.clear();
     this.hasGivenUp = false;
     [...this.pendingCalls.values()].forEach(({ settle }) =>
       settle({ type: 'unknown', reason: UnknownReason.LinkLost }),
@@ -288,7 +263,7 @@
         this.link.write(toPongMessage(this.options.clock()));
         break;
       case MessageKind.Report:
-        this.setReport(parseReport(message));
+        this.gate.receiveReport(parseReport(message));
         break;
       case MessageKind.Hello:
         this.receiveHello(message);
@@ -334,30 +309,16 @@
 
   private receiveEnd(message: Message): void {
     const id = message[1] as number;
-    if (this.report !== undefined) {
-      const load = message[2] as number;
-      this.setReport({ ...this.report, load, failureRate: message[3] as number });
-    }
+    this.gate.receiveNews(parseNews(message));
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
     const end = addPieces(parseEnd(message), pending.pieces);
-    if (end.type === 'answered') {
-      this.options.recordLimit(this.member.id, end.limit);
-      const elapsedMs = (pending.answeredAtMs ?? this.options.clock()) - pending.sentAtMs;
-      this.latency.recordAnswer(pending.kind, elapsedMs, end.serviceMs, end.queuedMs);
-    } else if (end.type === 'not-run' && end.reason === NotRunReason.Busy) {
-      const { kind, targetMs } = pending;
-      this.refusals.set(kind, { atMs: this.options.clock(), targetMs });
-    }
+    if (end.type === 'answered') this.options.recordLimit(this.member.id, end.limit);
+    const elapsedMs = (pending.answeredAtMs ?? this.options.clock()) - pending.sentAtMs;
+    this.gate.recordEnd(pending, end, elapsedMs);
     pending.settle(end);
   }
 
-  private setReport(report: GateReport): void {
-    this.report = report;
-    this.reportedAtMs = this.options.clock();
-    this.unreportedCalls = 0;
-  }
-
   private setStatus(status: Status): void {
     this.status = { ...status, atMs: this.options.clock() };
     this.options.receiveStatus(this, status);
@@ -387,7 +348,7 @@
       });
     });
     if (this.pendingCalls.size === 1) this.link.resetSilence();
-    this.unreportedCalls += 1;
+    this.gate.recordSent();
     this.link.write(toCallMessage(id, call, wantedAtMs));
     return { end, cancel: () => this.cancel(id) };
   }
@@ -395,7 +356,7 @@
   private cancel(id: number): void {
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
-    this.latency.recordAbandoned(pending.kind, this.options.clock() - pending.sentAtMs);
+    this.gate.recordAbandoned(pending.kind, this.options.clock() - pending.sentAtMs);
     this.link.write([MessageKind.Cancel, id]);
     pending.settle({ type: 'unknown', reason: UnknownReason.Cancelled });
   }
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,5 +1,6 @@
 import { type CrashNotice, parseCrashNotice } from '@cactusdeal/quarantine';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
+import type { GateNews } from './CactusdealRelayKnownGate.js';
 import { parseMember } from './CactusdealRelayMemberRecord.js';
 import type {
   AttemptEnd,
@@ -142,6 +143,11 @@
   };
 }
 
+/** Decodes what the end of an attempt tells about its gate. */
+export function parseNews(message: Message): GateNews {
+  return { load: message[2] as number, failureRate: message[3] as number };
+}
+
 export function toReportMessage(report: GateReport): Message {
   const { service, open, capacity, load, serviceMs, failureRate } = report;
   return [MessageKind.Report, service, open, capacity, load, serviceMs, failureRate];
