Choose gates by the age of their loads, and count failing upstreams as slow

Cause: entries chose by loads up to 0.5 s old as if they were of this moment, kept calls in a data centre until the expected answer was late although gates refuse them earlier, and took an upstream that failed at once for a fast one. Change: an old load moves towards the mean of the gates and gets uncertain (CactusdealRelayExpectedLoad); gates with free slots rank before fuller ones; another data centre lends once a local gate is expected to refuse, sooner after a refusal. Failed calls are no samples of a short service time, a failure rate above 0.2 costs up to 1.2 latency targets, it decays without calls and its changes are reported in the data centre. An upstream that says that it warms up counts as twice as slow (warm-up left, appended to the report; warmup_left_ms in heartbeats). The fleet benchmark no longer counts calls that it ends before they can: they were counted as not on time. A mean service time on every answer was tried and left out: entries then choose alike and queue up.

--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -1,3 +1,8 @@
+import {
+  computeExpectedExcess,
+  computeExpectedLoad,
+  computeUtilization,
+} from './CactusdealRelayExpectedLoad.js';
 import type { GateReport } from './CactusdealRelayTypes.js';
 
 /** What this entry knows about one gate. */
@@ -18,6 +23,8 @@
   readonly refusal: Refusal | undefined;
   /** Expected service time for the kind of call, in milliseconds. */
   readonly serviceMs: number;
+  /** Whether the upstream has started recently and is slow. */
+  readonly isWarmingUp: boolean;
   /** Observed time beyond queueing and service time (network and daemon), in milliseconds. */
   readonly overheadMs: number;
 }
@@ -64,10 +71,34 @@
  * the traffic between data centres.
  */
 const URGENT_TARGET_FRACTION = 0.6;
-/** Half-life of a reported load, in milliseconds: the calls that it counted end over time. */
-const LOAD_HALF_LIFE_MS = 1_000;
+/**
+ * Fraction of the latency target within which a local gate must be expected to answer a call that a gate
+ * has refused; lower because the loads known here have just proved too low.
+ */
+const RETRY_TARGET_FRACTION = 0.7;
+/**
+ * Multiple of the service time that must be left until the target at a gate where calls wait: gates keep such a
+ * reserve on admission and refuse calls beyond it.
+ */
+const RESERVED_SERVICE_TIMES = 0.8;
+/**
+ * Fraction of the mean utilization towards which old loads move when gates are ranked; below 1, so that a gate
+ * of which nothing was heard for long is tried again.
+ */
+const TREND_FRACTION = 0.5;
 /** Weight of the failure rate in the expected answer time. */
 const FAILURE_PENALTY = 3;
+/** Failure rate above which an upstream counts as failing, however fast it answers. */
+const FAILING_RATE = 0.2;
+/** Cost of a call to a failing upstream, as a multiple of the latency target and the rate beyond `FAILING_RATE`. */
+const FAILING_PENALTY_TARGETS = 1.5;
+/** Service times of an upstream that is warming up, as a multiple of its usual ones. */
+export const WARM_UP_FACTOR = 2;
+/**
+ * Weight of the expected utilization in the ranking, as a multiple of the service time: the load of a gate
+ * with few free slots is the likeliest to have risen since the last news.
+ */
+const UTILIZATION_WEIGHT = 0.8;
 /**
  * Added to the expected answer time of another daemon's gate, for the work which that daemon adds,
  * in milliseconds.
@@ -86,13 +117,12 @@
  * Load pattern: uneven load between data centres that are joined by expensive links. A local gate is
  * chosen if its answer is expected within the latency target; a remote one only if its answer is
  * expected sooner and within the target. Among gates on the same side the lowest expected answer time
- * wins. Under overload, a gate that has just refused a similar call is skipped, as it would refuse
+ * wins, where free slots count too. Under overload, a gate that has just refused a similar call is skipped, as it would refuse
  * this one too.
  */
 export function chooseGate(input: ChoiceInput, pickCandidates = pickFew): Choice {
   const local = findFastest(true, input, pickCandidates);
-  const targetFraction = input.priority === 0 ? URGENT_TARGET_FRACTION : LOCAL_TARGET_FRACTION;
-  if (local.best !== undefined && local.best.answerMs <= input.targetMs * targetFraction) {
+  if (local.best !== undefined && isFastEnough(local.best, input)) {
     return { type: 'gate', gate: local.best.gate };
   }
   const remote = findFastest(false, input, pickCandidates);
@@ -101,6 +131,14 @@
   return { type: local.hasEligible || remote.hasEligible ? 'busy' : 'none' };
 }
 
+/** Whether a local gate needs no comparison with those of other data centres. */
+function isFastEnough(local: Candidate, { priority, targetMs, tried }: ChoiceInput): boolean {
+  const isUrgent = priority === 0;
+  if (isUrgent && local.answerMs > targetMs * URGENT_TARGET_FRACTION) return false;
+  const targetFraction = tried.size > 0 ? RETRY_TARGET_FRACTION : LOCAL_TARGET_FRACTION;
+  return local.answerMs + local.reservedMs <= targetMs * targetFraction;
+}
+
 /** Prefers the remote gate only if its answer is expected sooner and within the target. */
 function chooseCandidate(
   local: Candidate | undefined,
@@ -109,14 +147,20 @@
 ): Candidate | undefined {
   if (local === undefined || remote === undefined) return local ?? remote;
   const isRemoteBetter =
-    remote.answerMs <= targetMs * REMOTE_TARGET_FRACTION && remote.answerMs < local.answerMs;
+    remote.answerMs + remote.reservedMs <= targetMs * REMOTE_TARGET_FRACTION &&
+    remote.answerMs < local.answerMs;
   return isRemoteBetter ? remote : local;
 }
 
-/** A gate with its expected answer time, in milliseconds. */
+/**
+ * A gate with its expected answer time, the reserve that it keeps beyond that, and the cost by which gates are
+ * ranked, in milliseconds.
+ */
 interface Candidate {
   readonly gate: GateView;
   readonly answerMs: number;
+  readonly reservedMs: number;
+  readonly costMs: number;
 }
 
 interface SearchResult {
@@ -152,10 +196,11 @@
 ): SearchResult {
   const eligible = input.listGates(isLocal).filter((gate) => isEligible(gate, input));
   const admitting = eligible.filter((gate) => !hasRecentRefusal(gate, input));
+  const utilization = computeUtilization(eligible);
   let best: Candidate | undefined;
   pickCandidates(admitting, input.random).forEach((gate) => {
-    const answerMs = computeAnswerMs(gate, input, isLocal);
-    if (best === undefined || answerMs < best.answerMs) best = { gate, answerMs };
+    const candidate = buildCandidate(gate, input, isLocal, utilization);
+    if (best === undefined || candidate.costMs < best.costMs) best = candidate;
   });
   return { hasEligible: eligible.length > 0, best };
 }
@@ -170,21 +215,32 @@
   return targetMs <= refusal.targetMs;
 }
 
-/**
- * Expected time until the gate's answer, in milliseconds; jitter spreads calls over equal gates.
- */
-function computeAnswerMs(gate: GateView, input: ChoiceInput, isLocal: boolean): number {
-  const { report, serviceMs } = gate;
-  const ageMs = input.nowMs - gate.reportedAtMs;
-  const decayedLoad = report.load * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
-  const load = decayedLoad + gate.unreportedCalls;
-  const capacity = Math.max(1, report.capacity);
-  const waitMs = Math.max(0, load + 1 - capacity) * (report.serviceMs / capacity);
-  const contentionMs = (load / capacity) * serviceMs * 0.1;
+/** Computes the expected time until the gate's answer; jitter spreads calls over equal gates. */
+function buildCandidate(
+  gate: GateView,
+  input: ChoiceInput,
+  isLocal: boolean,
+  meanUtilization: number,
+): Candidate {
+  const { report } = gate;
+  const warmUpFactor = gate.isWarmingUp ? WARM_UP_FACTOR : 1;
+  const serviceMs = gate.serviceMs * warmUpFactor;
+  const slots = Math.max(1, report.capacity);
+  const turnMs = (report.serviceMs * warmUpFactor) / slots;
+  const load = computeExpectedLoad(gate, meanUtilization, input.nowMs);
+  const waitMs = computeExpectedExcess(load, slots) * turnMs;
+  const rankedLoad = computeExpectedLoad(gate, meanUtilization * TREND_FRACTION, input.nowMs);
+  const rankedWaitMs = computeExpectedExcess(rankedLoad, slots) * turnMs;
   const failureFactor = 1 + FAILURE_PENALTY * report.failureRate;
+  const failingRate = Math.max(0, report.failureRate - FAILING_RATE);
+  const failingMs = failingRate * FAILING_PENALTY_TARGETS * Math.max(0, input.targetMs);
   const roundTripMs = isLocal ? 0 : REMOTE_ROUND_TRIP_MS;
   const penaltyMs = gate.isOwn ? 0 : OTHER_DAEMON_PENALTY_MS;
   const transitMs = Math.max(roundTripMs, gate.overheadMs) + penaltyMs;
   const jitter = 1 + 0.05 * input.random();
-  return (serviceMs * failureFactor + waitMs + contentionMs + transitMs) * jitter;
+  const answerMs = (serviceMs * failureFactor + waitMs + transitMs + failingMs) * jitter;
+  const utilization = rankedLoad.mean / slots;
+  const costMs = answerMs - waitMs + rankedWaitMs + utilization * serviceMs * UTILIZATION_WEIGHT;
+  const reservedMs = Math.min(waitMs, serviceMs * RESERVED_SERVICE_TIMES);
+  return { gate, answerMs, reservedMs, costMs };
 }
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -7,6 +7,8 @@
   isUpstreamAnswer,
   MISDIRECTED_STATUS,
 } from './CactusdealRelayAnswerKind.js';
+import { WARM_UP_FACTOR } from './CactusdealRelayBalancer.js';
+import { createFailureRate, type FailureRate } from './CactusdealRelayFailureRate.js';
 import { applyRateLimit } from './CactusdealRelayGateReport.js';
 import { findField } from './CactusdealRelayHeaders.js';
 import { createServiceTimes, type ServiceTimes } from './CactusdealRelayServiceTimes.js';
@@ -32,6 +34,7 @@
   type UpstreamEnd,
   type UpstreamPool,
 } from './CactusdealRelayUpstream.js';
+import { createWarmUpTimes } from './CactusdealRelayWarmUp.js';
 
 /** Admission control in front of the upstream on this host; forwards the admitted calls to it. */
 export interface Gate {
@@ -93,8 +96,6 @@
 
 /** How long the gate stays closed after a failed connection to its upstream. */
 const UNREACHABLE_HOLD_MS = 300;
-/** Weight of a new sample in the moving average of the failure rate. */
-const FAILURE_SMOOTHING_WEIGHT = 0.05;
 /** Time between checks of the queue for late calls, and for calls that a rate limit has held. */
 const SWEEP_INTERVAL_MS = 25;
 /** Retry-after of a call evicted from the queue. */
@@ -111,6 +112,9 @@
 class UpstreamGate implements Gate {
   private readonly serviceTimes: ServiceTimes = createServiceTimes();
 
+  /** The same, slower while the upstream is warming up. */
+  private readonly presentTimes: ServiceTimes;
+
   private readonly admission: Admission<TrackedCall>;
 
   private readonly pool: UpstreamPool;
@@ -125,7 +129,10 @@
 
   private unreachableUntilMs = 0;
 
-  private failureRate = 0;
+  /** End of the upstream's warm-up. */
+  private warmUntilMs = -Infinity;
+
+  private readonly failureRate: FailureRate;
 
   /** For each running call, by id: whether one of its nested calls failed. */
   private readonly nestedFailedById = new Map<string, boolean>();
@@ -134,8 +141,12 @@
 
   public constructor(private readonly options: GateOptions) {
     const { address, names, clock, pacer, log } = options;
+    this.failureRate = createFailureRate(clock);
     this.limit = createUpstreamLimit({ clock, log, observe: options.observe });
-    this.admission = createAdmission<TrackedCall>(this.serviceTimes, this.limit.rateLimit);
+    this.presentTimes = createWarmUpTimes(this.serviceTimes, () =>
+      this.getWarmUpLeftMs() === undefined ? 1 : WARM_UP_FACTOR,
+    );
+    this.admission = createAdmission<TrackedCall>(this.presentTimes, this.limit.rateLimit);
     this.pool = createUpstreamPool({ address, idField: names.callId, clock, pacer });
     this.crashWatch = createCrashWatch({
       recordCrash: (fingerprint, inFlight) => {
@@ -194,7 +205,7 @@
       capacity: this.upstream?.capacity,
       running,
       waiting: queued,
-      serviceMs: Math.round(this.serviceTimes.estimate(tracked.kind, tracked.estimateCapMs)),
+      serviceMs: Math.round(this.presentTimes.estimate(tracked.kind, tracked.estimateCapMs)),
       targetMs: Math.round(tracked.targetAtMs - clock()),
       waitedMs: Math.round(clock() - tracked.arrivedAtMs),
     });
@@ -304,8 +315,10 @@
     const { answer } = result;
     if (isShedAnswer(answer, names)) return this.recordShed(upstream, answer);
     if (hasRunWell(answer, names)) this.options.quarantine.recordSuccess(tracked.fingerprint);
-    this.recordFailure(answer.status >= MIN_SERVER_ERROR_STATUS ? 1 : 0);
-    this.serviceTimes.record(tracked.kind, serviceMs);
+    const hasFailed = answer.status >= MIN_SERVER_ERROR_STATUS;
+    this.recordFailure(hasFailed ? 1 : 0);
+    if (hasFailed) this.presentTimes.recordFailed(tracked.kind, serviceMs);
+    else this.presentTimes.record(tracked.kind, serviceMs);
     const queuedMs = clock() - serviceMs - tracked.arrivedAtMs;
     return { type: 'answered', answer, serviceMs, queuedMs, nestedFailed: false, limit: undefined };
   }
@@ -341,7 +354,7 @@
   }
 
   private recordFailure(failed: 0 | 1): void {
-    this.failureRate += FAILURE_SMOOTHING_WEIGHT * (failed - this.failureRate);
+    this.failureRate.record(failed);
   }
 
   private startNext(): void {
@@ -403,6 +416,7 @@
     const before = this.upstream;
     this.upstream = next;
     if (next !== undefined) this.limit.setUpstream(next);
+    this.warmUntilMs = this.options.clock() + (next?.warmUpLeftMs ?? 0);
     const isOpen = next?.state === 'ready' && !this.isDraining;
     this.admission.setCapacity(isOpen ? next.capacity : 0);
     if (before?.id !== next?.id) this.unreachableUntilMs = 0;
@@ -433,11 +447,17 @@
       capacity: upstream?.capacity ?? 0,
       load: running + waiting,
       serviceMs: Math.round(this.serviceTimes.getMean()),
-      failureRate: Math.round(this.failureRate * 100) / 100,
+      failureRate: Math.round(this.failureRate.get() * 100) / 100,
+      warmUpLeftMs: this.getWarmUpLeftMs(),
     };
     return applyRateLimit(report, this.limit.rateLimit, waiting, nowMs);
   }
 
+  private getWarmUpLeftMs(): number | undefined {
+    const leftMs = this.warmUntilMs - this.options.clock();
+    return leftMs > 0 ? leftMs : undefined;
+  }
+
   public estimateServiceMs(kind: string, estimateCapMs: number): number {
     return this.serviceTimes.estimate(kind, estimateCapMs);
   }
--- a/packages/relay/src/CactusdealRelayGateLatency.ts
+++ b/packages/relay/src/CactusdealRelayGateLatency.ts
@@ -3,8 +3,19 @@
 
 /** Latency of one gate as an entry has observed it. */
 export interface GateLatency {
-  /** Records an answered call: its total, service and queueing time, in milliseconds. */
-  recordAnswer(kind: string, elapsedMs: number, serviceMs: number, queuedMs: number): void;
+  /**
+   * Records an answered call: its total, service and queueing time, in milliseconds. `slowFactor` is by how
+   * much the upstream is slower than usual because it is warming up.
+   */
+  recordAnswer(
+    kind: string,
+    elapsedMs: number,
+    serviceMs: number,
+    queuedMs: number,
+    slowFactor?: number,
+  ): void;
+  /** The same for a call that the upstream answered with an error. */
+  recordFailed: GateLatency['recordAnswer'];
   /** Records a call that was cancelled after `elapsedMs` without an answer. */
   recordAbandoned(kind: string, elapsedMs: number): void;
   /** Expected service time in milliseconds; undefined until a call of the kind was answered. */
@@ -33,9 +44,13 @@
   let overheadMs = 0;
   let sampledAtMs = clock();
   return {
-    recordAnswer: (kind, elapsedMs, serviceMs, queuedMs) => {
+    recordAnswer: (kind, elapsedMs, serviceMs, queuedMs, slowFactor = 1) => {
       answeredKinds.add(kind);
-      times.record(kind, serviceMs);
+      times.record(kind, serviceMs / slowFactor);
+      recordOverhead(Math.max(0, elapsedMs - serviceMs - queuedMs));
+    },
+    recordFailed: (kind, elapsedMs, serviceMs, queuedMs, slowFactor = 1) => {
+      times.recordFailed(kind, serviceMs / slowFactor);
       recordOverhead(Math.max(0, elapsedMs - serviceMs - queuedMs));
     },
     recordAbandoned: (kind, elapsedMs) => {
--- a/packages/relay/src/CactusdealRelayGateReport.ts
+++ b/packages/relay/src/CactusdealRelayGateReport.ts
@@ -36,3 +36,17 @@
 function toTenth(value: number): number {
   return Math.round(value * 10) / 10;
 }
+
+/** Load up to this fraction of the slots does not affect the choice of a gate, and is not reported. */
+const MIN_REPORTED_LOAD_FRACTION = 0.4;
+/** Change of the failure rate that is reported whatever the load is. */
+const MIN_REPORTED_FAILURE_CHANGE = 0.2;
+
+/** Whether a gate tells the daemons of its data centre its state, after what it told them last. */
+export function isReportDue(
+  { capacity, load, failureRate }: GateReport,
+  told: Pick<GateReport, 'load' | 'failureRate'>,
+): boolean {
+  if (Math.abs(failureRate - told.failureRate) >= MIN_REPORTED_FAILURE_CHANGE) return true;
+  return Math.max(load, told.load) > capacity * MIN_REPORTED_LOAD_FRACTION;
+}
--- a/packages/relay/src/CactusdealRelayKnownGate.ts
+++ b/packages/relay/src/CactusdealRelayKnownGate.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@cactusdeal/shared';
-import type { GateView, Refusal } from './CactusdealRelayBalancer.js';
+import { type GateView, type Refusal, WARM_UP_FACTOR } from './CactusdealRelayBalancer.js';
 import { createGateLatency } from './CactusdealRelayGateLatency.js';
 import { type AttemptEnd, type GateReport, NotRunReason } from './CactusdealRelayTypes.js';
 
@@ -34,6 +34,8 @@
   readonly targetMs: number;
 }
 
+const MIN_SERVER_ERROR_STATUS = 500;
+
 /** Creates the record of a gate from which nothing was heard. */
 export function createKnownGate(memberId: string, clock: Clock): KnownGate {
   const latency = createGateLatency(clock);
@@ -42,8 +44,13 @@
   let report: GateReport | undefined;
   let reportedAtMs = 0;
   let unreportedCalls = 0;
+  /** End of the upstream's warm-up. */
+  let warmUntilMs = -Infinity;
   return {
-    receiveReport: setReport,
+    receiveReport: (next) => {
+      warmUntilMs = clock() + (next.warmUpLeftMs ?? 0);
+      setReport(next);
+    },
     receiveNews: (news) => {
       if (report !== undefined) setReport({ ...report, ...news });
     },
@@ -51,9 +58,13 @@
       unreportedCalls += 1;
     },
     recordEnd: ({ kind, targetMs }, end, elapsedMs) => {
-      if (end.type === 'answered')
-        latency.recordAnswer(kind, elapsedMs, end.serviceMs, end.queuedMs);
-      else if (end.type === 'not-run' && end.reason === NotRunReason.Busy)
+      if (end.type === 'answered') {
+        const { serviceMs, queuedMs, answer } = end;
+        const record =
+          answer.status >= MIN_SERVER_ERROR_STATUS ? latency.recordFailed : latency.recordAnswer;
+        record(kind, elapsedMs, serviceMs, queuedMs, isWarmingUp() ? WARM_UP_FACTOR : 1);
+      }
+      if (end.type === 'not-run' && end.reason === NotRunReason.Busy)
         refusals.set(kind, { atMs: clock(), targetMs });
     },
     recordAbandoned: (kind, elapsedMs) => latency.recordAbandoned(kind, elapsedMs),
@@ -69,16 +80,22 @@
         avoidedUntilMs,
         refusal: refusals.get(kind),
         serviceMs: latency.getServiceMs(kind) ?? Math.min(report.serviceMs, estimateCapMs),
+        isWarmingUp: isWarmingUp(),
         overheadMs: latency.getOverheadMs(),
       };
     },
     forget: () => {
       report = undefined;
+      warmUntilMs = -Infinity;
       unreportedCalls = 0;
       refusals.clear();
     },
   };
 
+  function isWarmingUp(): boolean {
+    return clock() < warmUntilMs;
+  }
+
   function setReport(next: GateReport): void {
     report = next;
     reportedAtMs = clock();
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -14,6 +14,7 @@
   MessageKind,
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
+import { isReportDue } from './CactusdealRelayGateReport.js';
 import { createHeldCalls, type HeldCalls } from './CactusdealRelayHeldCalls.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
 import {
@@ -89,8 +90,8 @@
   readonly activeCalls: Map<number, Attempt>;
   readonly heldCalls: HeldCalls;
   isLocal: boolean;
-  /** Load last reported over this link. */
-  reportedLoad: number;
+  /** What the other daemon last heard of the gate's state over this link. */
+  told: Pick<GateReport, 'load' | 'failureRate'>;
 }
 
 /** Interval between load reports within the data centre, in milliseconds. */
@@ -102,10 +103,6 @@
 const REMOTE_REPORT_MS = 10_000;
 /** Interval between status messages of a reader, in milliseconds. */
 const READER_STATUS_MS = 1_000;
-/**
- * Load up to this fraction of the slots does not affect the choice of a gate, and is not reported.
- */
-const MIN_REPORTED_LOAD_FRACTION = 0.4;
 
 const NO_BODY = new Uint8Array(0);
 
@@ -141,9 +138,8 @@
    * carries the load.
    */
   function pushLoadReports(): void {
-    const { load, capacity } = options.gate.getReport();
-    const minLoad = capacity * MIN_REPORTED_LOAD_FRACTION;
-    pushReport(({ isLocal, reportedLoad }) => isLocal && Math.max(load, reportedLoad) > minLoad);
+    const report = options.gate.getReport();
+    pushReport(({ isLocal, told }) => isLocal && isReportDue(report, told));
   }
 
   function pushReport(accept: (link: AcceptedLink) => boolean): void {
@@ -152,7 +148,7 @@
     links.forEach((acceptedLink) => {
       const link = acceptedLink;
       if (!accept(link)) return;
-      link.reportedLoad = report.load;
+      link.told = report;
       link.socket.write(frame);
     });
   }
@@ -182,7 +178,7 @@
       confirm: () => writer.write([MessageKind.Ping]),
     }),
     isLocal: false,
-    reportedLoad: 0,
+    told: { load: 0, failureRate: 0 },
   };
   links.add(link);
   const reader = createMessageReader(
@@ -292,7 +288,7 @@
   void attempt.end.then((end) => {
     link.activeCalls.delete(id);
     const report = gate.getReport();
-    link.reportedLoad = report.load;
+    link.told = report;
     writeEnd(link, id, end, report);
   });
 }
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -191,6 +191,7 @@
       avoidedUntilMs: 0,
       refusal: undefined,
       serviceMs: gate.estimateServiceMs(kind, estimateCapMs),
+      isWarmingUp: report.warmUpLeftMs !== undefined,
       overheadMs: 0,
     };
   }
--- a/packages/relay/src/CactusdealRelayServiceTimes.ts
+++ b/packages/relay/src/CactusdealRelayServiceTimes.ts
@@ -2,6 +2,11 @@
 export interface ServiceTimes {
   /** Adds the service time of an answered call, in milliseconds. */
   record(kind: string, serviceMs: number): void;
+  /**
+   * Adds the time until a call failed, in milliseconds. Only one that is longer than expected counts: an
+   * upstream that fails at once is not fast.
+   */
+  recordFailed(kind: string, failedAfterMs: number): void;
   /**
    * Expected service time of a call, in milliseconds. Without samples of the kind it is the mean of
    * all kinds, at most `estimateCapMs`: too high an estimate would have every call of the kind
@@ -38,12 +43,9 @@
   const deviationsByKind = new Map<string, number>();
   let mean: number | undefined;
   return {
-    record: (kind, serviceMs) => {
-      const distanceMs = Math.abs(serviceMs - (meansByKind.get(kind) ?? serviceMs));
-      const deviationMs = deviationsByKind.get(kind) ?? serviceMs * INITIAL_DEVIATION_FRACTION;
-      deviationsByKind.set(kind, computeAverage(deviationMs, distanceMs));
-      meansByKind.set(kind, computeAverage(meansByKind.get(kind), serviceMs));
-      mean = computeAverage(mean, serviceMs);
+    record: recordSample,
+    recordFailed: (kind, failedAfterMs) => {
+      if (failedAfterMs > computeExpectedMs(kind, Infinity)) recordSample(kind, failedAfterMs);
     },
     estimate: computeExpectedMs,
     estimateDeviation: (kind, estimateCapMs) =>
@@ -52,6 +54,14 @@
     getMean: () => mean ?? INITIAL_MEAN_MS,
   };
 
+  function recordSample(kind: string, serviceMs: number): void {
+    const distanceMs = Math.abs(serviceMs - (meansByKind.get(kind) ?? serviceMs));
+    const deviationMs = deviationsByKind.get(kind) ?? serviceMs * INITIAL_DEVIATION_FRACTION;
+    deviationsByKind.set(kind, computeAverage(deviationMs, distanceMs));
+    meansByKind.set(kind, computeAverage(meansByKind.get(kind), serviceMs));
+    mean = computeAverage(mean, serviceMs);
+  }
+
   function computeExpectedMs(kind: string, estimateCapMs: number): number {
     return meansByKind.get(kind) ?? Math.min(mean ?? INITIAL_MEAN_MS, estimateCapMs);
   }
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -138,6 +138,8 @@
    * Fraction of recent calls that the upstream failed or shed, or that did not reach it; 0 to 1.
    */
   readonly failureRate: number;
+  /** How much longer its upstream is warming up, in milliseconds; undefined if it is not. */
+  readonly warmUpLeftMs?: number | undefined;
 }
 
 /** A daemon, as other daemons know it. */
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -149,8 +149,10 @@
 }
 
 export function toReportMessage(report: GateReport): Message {
-  const { service, open, capacity, load, serviceMs, failureRate } = report;
-  return [MessageKind.Report, service, open, capacity, load, serviceMs, failureRate];
+  const { service, open, capacity, load, serviceMs, failureRate, warmUpLeftMs } = report;
+  const fields = [service, open, capacity, load, serviceMs, failureRate];
+  if (warmUpLeftMs !== undefined) fields.push(Math.round(warmUpLeftMs));
+  return [MessageKind.Report, ...fields];
 }
 
 export function parseReport(message: Message): GateReport {
@@ -161,6 +163,7 @@
     load: message[4] as number,
     serviceMs: message[5] as number,
     failureRate: message[6] as number,
+    warmUpLeftMs: parseTime(message[7]),
   };
 }
 
--- a/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayFixtures.ts
@@ -91,6 +91,7 @@
     avoidedUntilMs: 0,
     refusal: undefined,
     serviceMs: changes.report?.serviceMs ?? 100,
+    isWarmingUp: false,
     overheadMs: 0,
     ...changes,
     report: {
--- a/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayBalancer.test.ts
@@ -103,6 +103,58 @@
     gates: [near({ report: { failureRate: 1 } }), near({ memberId: 'sound' })],
     expected: 'sound',
   },
+  {
+    name: 'skips a gate whose upstream is fast because it fails',
+    gates: [near({ report: { failureRate: 0.6, serviceMs: 5 } }), near({ memberId: 'sound' })],
+    expected: 'sound',
+  },
+  {
+    name: 'skips a gate whose upstream is warming up',
+    gates: [near({ isWarmingUp: true }), near({ memberId: 'warm' })],
+    expected: 'warm',
+  },
+  {
+    name: 'chooses a gate whose upstream is warming up if the other one has a queue',
+    gates: [near({ isWarmingUp: true }), near({ memberId: 'warm', report: { load: 40 } })],
+    expected: 'near',
+  },
+  {
+    name: 'chooses the gate that is known to be free of two with the same reports',
+    gates: [
+      near({ report: { load: 4 }, reportedAtMs: -2_000 }),
+      near({ memberId: 'known', report: { load: 0 }, isOwn: true }),
+    ],
+    expected: 'known',
+  },
+  {
+    name: 'tries a gate again that was full 2 s ago',
+    gates: [
+      near({ report: { load: 8 }, reportedAtMs: -2_000 }),
+      near({ memberId: 'known', report: { load: 8 } }),
+    ],
+    expected: 'near',
+  },
+  {
+    name: 'prefers a local gate that would refuse the call soon to none',
+    gates: [near({ report: { load: 45 } })],
+    expected: 'near',
+  },
+  {
+    name: 'chooses a remote gate if calls wait so long at the local one that it would refuse the call',
+    gates: [near({ report: { load: 45 } }), far()],
+    expected: 'far',
+  },
+  {
+    name: 'chooses a remote gate sooner after a refusal',
+    gates: [near({ report: { load: 25 } }), far()],
+    input: { tried: new Set(['other']) },
+    expected: 'far',
+  },
+  {
+    name: 'keeps a call in the data centre while its gates answer in time',
+    gates: [near({ report: { load: 25 } }), far()],
+    expected: 'near',
+  },
   {
     name: 'skips a gate whose daemon is slow though its upstream is not',
     gates: [near({ overheadMs: 400 }), near({ memberId: 'quick' })],
--- a/packages/relay/src/bench/CactusdealRelayBenchFleet.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchFleet.ts
@@ -100,8 +100,13 @@
     busiest: Math.max(...offered) / (offered.reduce((sum, one) => sum + one, 0) / gateCount),
   };
 
-  function toFraction(count: number): number {
-    return Math.round((count / counts.calls) * MS_PER_SECOND) / MS_PER_SECOND;
+  function toFraction(part: number): number {
+    return Math.round((part / counts.calls) * MS_PER_SECOND) / MS_PER_SECOND;
+  }
+
+  /** Counts what became of a call, unless the run may end before it does. */
+  function count(name: keyof typeof counts, startedAtMs: number): void {
+    if (startedAtMs < durationMs - DEADLINE_MS) counts[name] += 1;
   }
 
   function createGate(index: number): FleetGate {
@@ -137,7 +142,7 @@
   function scheduleArrival(): void {
     timeline.schedule(-Math.log(1 - random()) / callsPerMs, () => {
       const nowMs = timeline.getNowMs();
-      counts.calls += 1;
+      count('calls', nowMs);
       send({
         kind: KIND,
         priority: 0,
@@ -171,7 +176,7 @@
     };
     const choice = choose(input);
     if (choice.type !== 'gate') {
-      counts.refused += 1;
+      count('refused', call.startedAtMs);
       return;
     }
     const gate = gates.find(({ id }) => id === choice.gate.memberId) as FleetGate;
@@ -199,6 +204,7 @@
       avoidedUntilMs: 0,
       refusal: view.refusal,
       serviceMs: view.serviceMs,
+      isWarmingUp: false,
       overheadMs: 2 * TRANSIT_MS,
     };
   }
@@ -222,7 +228,7 @@
     const view = call.entry.get(gate.id) as EntryView;
     view.refusal = { atMs: nowMs, targetMs: call.targetAtMs - nowMs };
     if (call.tried.size < MAX_GATES) send(call);
-    else counts.refused += 1;
+    else count('refused', call.startedAtMs);
   }
 
   function start(gate: FleetGate, call: FleetCall): void {
@@ -231,7 +237,7 @@
       gate.admission.release();
       gate.times.record(KIND, serviceMs);
       const isOnTime = timeline.getNowMs() <= call.targetAtMs;
-      counts[isOnTime ? 'onTime' : 'late'] += 1;
+      count(isOnTime ? 'onTime' : 'late', call.startedAtMs);
       timeline.schedule(TRANSIT_MS, () => updateView(call.entry, gate));
       evictLate(gate);
       const next = gate.admission.takeNext(timeline.getNowMs());
--- a/packages/relay/src/bench/CactusdealRelayBenchOverloadPolicies.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchOverloadPolicies.ts
@@ -135,6 +135,7 @@
       avoidedUntilMs: 0,
       refusal: refusals.get(kind.name),
       serviceMs: times.estimate(kind.name, computeEstimateCapMs(targetMs)),
+      isWarmingUp: false,
       overheadMs: 0,
     };
   }
--- a/packages/relay/src/bench/CactusdealRelayBenchUneven.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchUneven.ts
@@ -1,6 +1,8 @@
 import { createSeededRandom } from '@cactusdeal/shared';
 import { createAdmission } from '../CactusdealRelayAdmission.js';
-import { chooseGate, type GateView } from '../CactusdealRelayBalancer.js';
+import { chooseGate, type GateView, WARM_UP_FACTOR } from '../CactusdealRelayBalancer.js';
+import { createFailureRate } from '../CactusdealRelayFailureRate.js';
+import { isReportDue } from '../CactusdealRelayGateReport.js';
 import { createKnownGate } from '../CactusdealRelayKnownGate.js';
 import { chooseLinks, LinkState } from '../CactusdealRelayLinkPlan.js';
 import { computeEstimateCapMs, createServiceTimes } from '../CactusdealRelayServiceTimes.js';
@@ -11,6 +13,7 @@
   type Member,
   NotRunReason,
 } from '../CactusdealRelayTypes.js';
+import { createWarmUpTimes } from '../CactusdealRelayWarmUp.js';
 import { createTimeline } from './CactusdealRelayBenchTimeline.js';
 import type {
   Listener,
@@ -29,7 +32,6 @@
 const DEADLINE_MS = 3_150;
 const LOCAL_REPORT_MS = 500;
 const REMOTE_REPORT_MS = 10_000;
-const MIN_REPORTED_LOAD_FRACTION = 0.4;
 /** One way between daemons, in and between data centres. */
 const LOCAL_TRANSIT_MS = 1;
 const REMOTE_TRANSIT_MS = 3.4;
@@ -40,7 +42,6 @@
 const COLD_MS = 3_000;
 const COLD_FACTOR = 2;
 const FAILING_MS = 5;
-const FAILURE_SMOOTHING_WEIGHT = 0.05;
 /** Calls before this time are not counted, as the entries know nothing yet, nor those that may not end in time. */
 const WARM_UP_MS = 3_000;
 const THOUSANDTHS = 1_000;
@@ -74,21 +75,26 @@
   }
 
   function createGate(member: Member, index: number): UnevenGate {
-    const times = createServiceTimes();
+    const usualTimes = createServiceTimes();
+    const times = createWarmUpTimes(usualTimes, () =>
+      gate.coldUntilMs > getNowMs() ? WARM_UP_FACTOR : 1,
+    );
     const admission = createAdmission<UnevenCall>(times);
     admission.setCapacity(options.slots);
     const [min, max] = options.slowFactors;
-    return {
+    const gate: UnevenGate = {
       member,
       slowFactor: min + (max - min) * random(),
       isFailing: index >= options.gates - options.failingGates,
       admission,
       times,
+      usualTimes,
       listeners: [],
-      failureRate: 0,
+      failureRate: createFailureRate(getNowMs),
       slowedUntilMs: 0,
       coldUntilMs: 0,
     };
+    return gate;
   }
 
   function createHost(member: Member): UnevenHost {
@@ -101,7 +107,7 @@
       if (!linked.has(gate.member.id)) return;
       const known = createKnownGate(gate.member.id, getNowMs);
       const isLocal = gate.member.dataCentre === member.dataCentre;
-      const listener: Listener = { known, isLocal, reportedLoad: 0 };
+      const listener: Listener = { known, isLocal, told: buildGateReport(gate) };
       known.receiveReport(buildGateReport(gate));
       gate.listeners.push(listener);
       links.set(gate.member.id, { gate, listener });
@@ -109,15 +115,21 @@
     return { member, links, ownGate: gates.find((gate) => gate.member.id === member.id) };
   }
 
-  function buildGateReport({ admission, times, failureRate }: UnevenGate): GateReport {
+  function buildGateReport({
+    admission,
+    usualTimes,
+    failureRate,
+    coldUntilMs,
+  }: UnevenGate): GateReport {
     const { running, waiting } = admission.getLoad();
     return {
       service: SERVICE,
       open: true,
       capacity: options.slots,
       load: running + waiting,
-      serviceMs: Math.round(times.getMean()),
-      failureRate: Math.round(failureRate * 100) / 100,
+      serviceMs: Math.round(usualTimes.getMean()),
+      failureRate: Math.round(failureRate.get() * 100) / 100,
+      warmUpLeftMs: coldUntilMs > getNowMs() ? coldUntilMs - getNowMs() : undefined,
     };
   }
 
@@ -130,6 +142,7 @@
     if (coldStartsWithinMs === 0) return;
     timeline.schedule(WARM_UP_MS + random() * coldStartsWithinMs, () => {
       gate.coldUntilMs = getNowMs() + COLD_MS;
+      pushReport(gate, () => true);
     });
   }
 
@@ -145,8 +158,7 @@
 
   function reportLocally(gate: UnevenGate): void {
     const report = buildGateReport(gate);
-    const minLoad = options.slots * MIN_REPORTED_LOAD_FRACTION;
-    pushReport(gate, (link) => link.isLocal && Math.max(report.load, link.reportedLoad) > minLoad);
+    pushReport(gate, (link) => link.isLocal && isReportDue(report, link.told));
     timeline.schedule(LOCAL_REPORT_MS, () => reportLocally(gate));
   }
 
@@ -159,7 +171,7 @@
     const report = buildGateReport(gate);
     gate.listeners.filter(accept).forEach((told) => {
       const listener = told;
-      listener.reportedLoad = report.load;
+      listener.told = report;
       listener.known.receiveReport(report);
     });
   }
@@ -261,7 +273,8 @@
       unreportedCalls: 0,
       avoidedUntilMs: 0,
       refusal: undefined,
-      serviceMs: gate.times.estimate(KIND, computeEstimateCapMs(TARGET_MS)),
+      serviceMs: gate.usualTimes.estimate(KIND, computeEstimateCapMs(TARGET_MS)),
+      isWarmingUp: getNowMs() < gate.coldUntilMs,
       overheadMs: 0,
     };
   }
@@ -294,10 +307,10 @@
 
   /** Passes the end of a call to its entry, with the load of the gate at that moment. */
   function finish(gate: UnevenGate, call: UnevenCall, end: AttemptEnd): void {
-    const { load, failureRate } = buildGateReport(gate);
+    const news = buildGateReport(gate);
     timeline.schedule(getTransitMs(call, gate), () => {
       const known = call.host.links.get(gate.member.id)?.listener.known;
-      known?.receiveNews({ load, failureRate });
+      known?.receiveNews({ load: news.load, failureRate: news.failureRate });
       known?.recordEnd(
         { kind: KIND, targetMs: call.targetAtMs - call.sentAtMs },
         end,
@@ -330,9 +343,9 @@
     const serviceMs = gate.isFailing ? FAILING_MS : call.workMs * gate.slowFactor * slowed * cold;
     timeline.schedule(serviceMs, () => {
       gate.admission.release();
-      const failed = gate.isFailing ? 1 : 0;
-      gate.failureRate += FAILURE_SMOOTHING_WEIGHT * (failed - gate.failureRate);
-      gate.times.record(KIND, serviceMs);
+      gate.failureRate.record(gate.isFailing ? 1 : 0);
+      if (gate.isFailing) gate.times.recordFailed(KIND, serviceMs);
+      else gate.times.record(KIND, serviceMs);
       finish(gate, call, {
         type: 'answered',
         answer: { status: gate.isFailing ? 500 : 200, headers: [], body: new Uint8Array(0) },
--- a/packages/relay/src/bench/CactusdealRelayBenchUnevenTypes.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchUnevenTypes.ts
@@ -1,8 +1,9 @@
 import type { AdmissionRequest, createAdmission } from '../CactusdealRelayAdmission.js';
 import type { Choice, ChoiceInput } from '../CactusdealRelayBalancer.js';
+import type { FailureRate } from '../CactusdealRelayFailureRate.js';
 import type { KnownGate } from '../CactusdealRelayKnownGate.js';
-import type { Member } from '../CactusdealRelayTypes.js';
-import type { createServiceTimes } from '../CactusdealRelayServiceTimes.js';
+import type { GateReport, Member } from '../CactusdealRelayTypes.js';
+import type { ServiceTimes } from '../CactusdealRelayServiceTimes.js';
 
 /** A fleet whose upstreams and demand are uneven. */
 export interface UnevenOptions {
@@ -57,10 +58,12 @@
   readonly slowFactor: number;
   readonly isFailing: boolean;
   readonly admission: ReturnType<typeof createAdmission<UnevenCall>>;
-  readonly times: ReturnType<typeof createServiceTimes>;
+  readonly times: ServiceTimes;
+  /** Its times without the slowness of a cold start. */
+  readonly usualTimes: ServiceTimes;
   /** Entries that hear the gate's reports. */
   readonly listeners: Listener[];
-  failureRate: number;
+  readonly failureRate: FailureRate;
   slowedUntilMs: number;
   coldUntilMs: number;
 }
@@ -68,7 +71,7 @@
 export interface Listener {
   readonly known: KnownGate;
   readonly isLocal: boolean;
-  reportedLoad: number;
+  told: GateReport;
 }
 
 export interface UnevenHost {
