--- /dev/null
+++ b/packages/relay/src/CactusdealRelayKnownGate.ts
@@ -0,0 +1,116 @@
+import type { Clock } from '@cactusdeal/shared';
+import { type GateView, type Refusal, WARM_UP_FACTOR } from './CactusdealRelayBalancer.js';
+import { createGateLatency } from './CactusdealRelayGateLatency.js';
+import { type AttemptEnd, type GateReport, NotRunReason } from './CactusdealRelayTypes.js';
+
+/** What an entry knows about the gate of another daemon, from its reports and the ends of calls. */
+export interface KnownGate {
+  receiveReport(report: GateReport): void;
+  /** Handles the gate's load and failure rate, which came with the end of a call. */
+  receiveNews(news: GateNews): void;
+  /** Records that a call was sent to the gate. */
+  recordSent(): void;
+  /** Records the end of a call after `elapsedMs`. */
+  recordEnd(call: EndedCall, end: AttemptEnd, elapsedMs: number): void;
+  /** Records a call that was cancelled after `elapsedMs` without an answer. */
+  recordAbandoned(kind: string, elapsedMs: number): void;
+  /** Service of the gate; undefined until a report arrives. */
+  getService(): string | undefined;
+  /** The gate as input to the choice for a call; undefined until a report arrives. */
+  getView(call: ComparedCall, avoidedUntilMs: number): GateView | undefined;
+  /** Discards what the gate has told; the observed latency stays. */
+  forget(): void;
+}
+
+/** What the end of a call tells about its gate. */
+export type GateNews = Pick<GateReport, 'load' | 'failureRate'>;
+
+/** A call for which gates are compared. */
+export interface ComparedCall {
+  readonly kind: string;
+  /** Upper bound of the service-time estimate for a kind without samples, in milliseconds. */
+  readonly estimateCapMs: number;
+  /** What the call has in common with those that a busy gate refuses alike. */
+  readonly refusalKey: string;
+}
+
+/** What is kept of a call for its end. */
+export interface EndedCall {
+  readonly kind: string;
+  readonly refusalKey: string;
+  readonly targetMs: number;
+}
+
+/** Refusals kept; they count for a moment only. */
+const MAX_REFUSALS = 200;
+
+const MIN_SERVER_ERROR_STATUS = 500;
+
+/** Creates the record of a gate from which nothing was heard. */
+export function createKnownGate(memberId: string, clock: Clock): KnownGate {
+  const latency = createGateLatency(clock);
+  /** The gate's last refusal because it was busy, by what refused calls have in common. */
+  const refusals = new Map<string, Refusal>();
+  let report: GateReport | undefined;
+  let reportedAtMs = 0;
+  let unreportedCalls = 0;
+  /** End of the upstream's warm-up. */
+  let warmUntilMs = -Infinity;
+  return {
+    receiveReport: (next) => {
+      warmUntilMs = clock() + (next.warmUpLeftMs ?? 0);
+      setReport(next);
+    },
+    receiveNews: (news) => {
+      if (report !== undefined) setReport({ ...report, ...news });
+    },
+    recordSent: () => {
+      unreportedCalls += 1;
+    },
+    recordEnd: ({ kind, refusalKey, targetMs }, end, elapsedMs) => {
+      if (end.type === 'answered') {
+        const { serviceMs, queuedMs, answer } = end;
+        const record =
+          answer.status >= MIN_SERVER_ERROR_STATUS ? latency.recordFailed : latency.recordAnswer;
+        record(kind, elapsedMs, serviceMs, queuedMs, isWarmingUp() ? WARM_UP_FACTOR : 1);
+      }
+      if (end.type === 'not-run' && end.reason === NotRunReason.Busy) {
+        if (refusals.size >= MAX_REFUSALS) refusals.clear();
+        refusals.set(refusalKey, { atMs: clock(), targetMs });
+      }
+    },
+    recordAbandoned: (kind, elapsedMs) => latency.recordAbandoned(kind, elapsedMs),
+    getService: () => report?.service,
+    getView: ({ kind, estimateCapMs, refusalKey }, avoidedUntilMs) => {
+      if (report === undefined) return undefined;
+      return {
+        memberId,
+        isOwn: false,
+        report,
+        reportedAtMs,
+        unreportedCalls,
+        avoidedUntilMs,
+        refusal: refusals.get(refusalKey),
+        serviceMs: latency.getServiceMs(kind) ?? Math.min(report.serviceMs, estimateCapMs),
+        isWarmingUp: isWarmingUp(),
+        overheadMs: latency.getOverheadMs(),
+      };
+    },
+    forget: () => {
+      report = undefined;
+      warmUntilMs = -Infinity;
+      unreportedCalls = 0;
+      refusals.clear();
+    },
+  };
+
+  function isWarmingUp(): boolean {
+    return clock() < warmUntilMs;
+  }
+
+  function setReport(next: GateReport): void {
+    report = next;
+    reportedAtMs = clock();
+    unreportedCalls = 0;
+  }
+}
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -14,6 +14,7 @@
   MessageKind,
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
+import { isReportDue } from './CactusdealRelayGateReport.js';
 import { createHeldCalls, type HeldCalls } from './CactusdealRelayHeldCalls.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
@@ -96,8 +97,8 @@
   /** The other daemon; undefined until it has said who it is. */
   member: Member | undefined;
   isLocal: boolean;
-  /** Load last reported over this link. */
-  reportedLoad: number;
+  /** What the other daemon last heard of the gate's state over this link. */
+  told: Pick<GateReport, 'load' | 'failureRate'>;
 }
 
 /** Interval between load reports within the data centre, in milliseconds. */
@@ -109,10 +110,6 @@
 const REMOTE_REPORT_MS = 10_000;
 /** Interval between status messages of a reader, in milliseconds. */
 const READER_STATUS_MS = 1_000;
-/**
- * Load up to this fraction of the slots does not affect the choice of a gate, and is not reported.
- */
-const MIN_REPORTED_LOAD_FRACTION = 0.4;
 
 /** Bytes of the body of each call that do not count among those that all links hold. */
 const RESERVED_BODY_BYTES = 64 * 1024;
@@ -151,9 +148,8 @@
    * carries the load.
    */
   function pushLoadReports(): void {
-    const { load, capacity } = options.gate.getReport();
-    const minLoad = capacity * MIN_REPORTED_LOAD_FRACTION;
-    pushReport(({ isLocal, reportedLoad }) => isLocal && Math.max(load, reportedLoad) > minLoad);
+    const report = options.gate.getReport();
+    pushReport(({ isLocal, told }) => isLocal && isReportDue(report, told));
   }
 
   function pushReport(accept: (link: AcceptedLink) => boolean): void {
@@ -162,7 +158,7 @@
     links.forEach((acceptedLink) => {
       const link = acceptedLink;
       if (!accept(link)) return;
-      link.reportedLoad = report.load;
+      link.told = report;
       link.socket.write(frame);
     });
   }
@@ -193,7 +189,7 @@
     }),
     member: undefined,
     isLocal: false,
-    reportedLoad: 0,
+    told: { load: 0, failureRate: 0 },
   };
   links.add(link);
   const reader = createMessageReader(
@@ -315,7 +311,7 @@
     link.activeCalls.delete(id);
     linkBytes.release(heldBytes);
     const report = gate.getReport();
-    link.reportedLoad = report.load;
+    link.told = report;
     writeEnd(link, id, end, report);
   });
 }
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -6,9 +6,9 @@
   createByteCollector,
   type Log,
 } from '@cactusdeal/shared';
-import type { GateView, Refusal } from './CactusdealRelayBalancer.js';
+import type { GateView } from './CactusdealRelayBalancer.js';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
-import { createGateLatency, type GateLatency } from './CactusdealRelayGateLatency.js';
+import { createKnownGate, type KnownGate } from './CactusdealRelayKnownGate.js';
 import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
@@ -19,7 +19,6 @@
   type CrashNoticeExchange,
   type DepartureExchange,
   type GateCall,
-  type GateReport,
   type LimitExchange,
   type Member,
   NotRunReason,
@@ -32,6 +31,7 @@
   parseDeparture,
   parseEnd,
   parseHello,
+  parseNews,
   parsePiece,
   parseReport,
   parseStatus,
@@ -146,9 +146,6 @@
  */
 const IDLE_LINK_TIMEOUT_MS = 25_000;
 
-/** Refusals kept; they count for a moment only. */
-const MAX_REFUSALS = 200;
-
 /** Creates a peer, which connects and reconnects until it is closed. */
 export function createPeer(options: PeerOptions): Peer {
   return new OutgoingPeer(options);
@@ -159,19 +156,10 @@
 
   private readonly pendingCalls = new Map<number, PendingCall>();
 
-  private report: GateReport | undefined;
-
-  private reportedAtMs = 0;
-
-  private unreportedCalls = 0;
+  private readonly gate: KnownGate;
 
   private avoidedUntilMs = 0;
 
-  private readonly latency: GateLatency;
-
-  /** The gate's last refusal because it was busy, by `formatRefusalKey`. */
-  private readonly refusals = new Map<string, Refusal>();
-
   private status: (Status & { readonly atMs: number }) | undefined;
 
   private nextId = 1;
@@ -183,7 +171,7 @@
 
   public constructor(private readonly options: PeerOptions) {
     this.member = options.member;
-    this.latency = createGateLatency(options.clock);
+    this.gate = createKnownGate(options.member.id, options.clock);
     this.link = createPeerLink({
       member: options.member,
       clock: options.clock,
@@ -216,27 +204,13 @@
   }
 
   public getService(): string | undefined {
-    return this.isConnected() ? this.report?.service : undefined;
+    return this.isConnected() ? this.gate.getService() : undefined;
   }
 
   public getView(kind: string, estimateCapMs: number, refusalKey = kind): GateView | undefined {
-    if (!this.isConnected() || this.report === undefined) return undefined;
-    const { report, reportedAtMs, unreportedCalls } = this;
+    if (!this.isConnected()) return undefined;
     const avoidedUntilMs = this.isSuspect() ? Infinity : this.avoidedUntilMs;
-    const serviceMs = this.latency.getServiceMs(kind) ?? Math.min(report.serviceMs, estimateCapMs);
-    const overheadMs = this.latency.getOverheadMs();
-    const refusal = this.refusals.get(refusalKey);
-    return {
-      memberId: this.member.id,
-      isOwn: false,
-      report,
-      reportedAtMs,
-      unreportedCalls,
-      avoidedUntilMs,
-      refusal,
-      serviceMs,
-      overheadMs,
-    };
+    return this.gate.getView({ kind, estimateCapMs, refusalKey }, avoidedUntilMs);
   }
 
   public getStatus(): (Status & { readonly atMs: number }) | undefined {
@@ -254,10 +228,8 @@
   }
 
   private endLink(): void {
-    this.report = undefined;
+    this.gate.forget();
     this.status = undefined;
-    this.unreportedCalls = 0;
-    this.refusals.clear();
     this.hasGivenUp = false;
     [...this.pendingCalls.values()].forEach(({ settle }) =>
       settle({ type: 'unknown', reason: UnknownReason.LinkLost }),
@@ -305,7 +277,7 @@
         this.link.write(toPongMessage(this.options.clock()));
         break;
       case MessageKind.Report:
-        this.setReport(parseReport(message));
+        this.gate.receiveReport(parseReport(message));
         break;
       case MessageKind.Hello:
         this.receiveHello(message);
@@ -355,31 +327,16 @@
 
   private receiveEnd(message: Message): void {
     const id = message[1] as number;
-    if (this.report !== undefined) {
-      const load = message[2] as number;
-      this.setReport({ ...this.report, load, failureRate: message[3] as number });
-    }
+    this.gate.receiveNews(parseNews(message));
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
     const end = addPieces(parseEnd(message), pending.pieces);
-    if (end.type === 'answered') {
-      this.options.recordLimit(this.member.id, end.limit);
-      const elapsedMs = (pending.answeredAtMs ?? this.options.clock()) - pending.sentAtMs;
-      this.latency.recordAnswer(pending.kind, elapsedMs, end.serviceMs, end.queuedMs);
-    } else if (end.type === 'not-run' && end.reason === NotRunReason.Busy) {
-      const { refusalKey, targetMs } = pending;
-      if (this.refusals.size >= MAX_REFUSALS) this.refusals.clear();
-      this.refusals.set(refusalKey, { atMs: this.options.clock(), targetMs });
-    }
+    if (end.type === 'answered') this.options.recordLimit(this.member.id, end.limit);
+    const elapsedMs = (pending.answeredAtMs ?? this.options.clock()) - pending.sentAtMs;
+    this.gate.recordEnd(pending, end, elapsedMs);
     pending.settle(end);
   }
 
-  private setReport(report: GateReport): void {
-    this.report = report;
-    this.reportedAtMs = this.options.clock();
-    this.unreportedCalls = 0;
-  }
-
   private setStatus(status: Status): void {
     this.status = { ...status, atMs: this.options.clock() };
     this.options.receiveStatus(this, status);
@@ -410,7 +367,7 @@
       });
     });
     if (this.pendingCalls.size === 1) this.link.resetSilence();
-    this.unreportedCalls += 1;
+    this.gate.recordSent();
     this.link.write(toCallMessage(id, call, wantedAtMs));
     return { end, cancel: () => this.cancel(id) };
   }
@@ -418,7 +375,7 @@
   private cancel(id: number): void {
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
-    this.latency.recordAbandoned(pending.kind, this.options.clock() - pending.sentAtMs);
+    this.gate.recordAbandoned(pending.kind, this.options.clock() - pending.sentAtMs);
     this.link.write([MessageKind.Cancel, id]);
     pending.settle({ type: 'unknown', reason: UnknownReason.Cancelled });
   }
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,5 +1,6 @@
 import { type CrashNotice, parseCrashNotice } from '@cactusdeal/quarantine';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
+import type { GateNews } from './CactusdealRelayKnownGate.js';
 import { parseMember } from './CactusdealRelayMemberRecord.js';
 import { NO_ERA, parseEra } from './CactusdealRelayStoreEra.js';
 import type {
@@ -153,9 +154,16 @@
   };
 }
 
+/** Decodes what the end of an attempt tells about its gate. */
+export function parseNews(message: Message): GateNews {
+  return { load: message[2] as number, failureRate: message[3] as number };
+}
+
 export function toReportMessage(report: GateReport): Message {
-  const { service, open, capacity, load, serviceMs, failureRate } = report;
-  return [MessageKind.Report, service, open, capacity, load, serviceMs, failureRate];
+  const { service, open, capacity, load, serviceMs, failureRate, warmUpLeftMs } = report;
+  const fields = [service, open, capacity, load, serviceMs, failureRate];
+  if (warmUpLeftMs !== undefined) fields.push(Math.round(warmUpLeftMs));
+  return [MessageKind.Report, ...fields];
 }
 
 export function parseReport(message: Message): GateReport {
@@ -166,6 +174,7 @@
     load: message[4] as number,
     serviceMs: message[5] as number,
     failureRate: message[6] as number,
+    warmUpLeftMs: parseTime(message[7]),
   };
 }
 
