--- a/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
@@ -19,6 +19,8 @@
   /** Time between the daemon's own word and the list, in milliseconds. */
   readonly elapsedMs: number;
   readonly listed: readonly Member[];
+  /** Whether the list is that of a store that has just been restored from an old copy. */
+  readonly isRestored?: boolean;
   /** Addresses of the daemons that are known after the list. */
   readonly expected: readonly string[];
 }
@@ -44,6 +46,20 @@
     listed: [build('d2', 3)],
     expected: ['127.0.0.1:3'],
   },
+  {
+    name: 'keeps a daemon that the list of a restored store lacks',
+    elapsedMs: 60_000,
+    listed: [],
+    isRestored: true,
+    expected: ['127.0.0.1:2'],
+  },
+  {
+    name: 'adds the daemons of the list of a restored store',
+    elapsedMs: 60_000,
+    listed: [build('d1'), build('d3', 4)],
+    isRestored: true,
+    expected: ['127.0.0.1:2', '127.0.0.1:4'],
+  },
   {
     name: 'adds the daemons of a list',
     elapsedMs: 0,
@@ -53,7 +69,7 @@
 ];
 
 describe('members known to a daemon', () => {
-  cases.forEach(({ name, elapsedMs, listed, expected }) => {
+  cases.forEach(({ name, elapsedMs, listed, isRestored = false, expected }) => {
     it(name, () => {
       let nowMs = 0;
       const members = createMembers({
@@ -73,7 +89,8 @@
       });
       members.add(build('d2', 2));
       nowMs = elapsedMs;
-      members.replace(listed);
+      if (isRestored) members.merge(listed);
+      else members.replace(listed);
       assert.deepEqual(
         members
           .list()
--- a/packages/relay/src/__tests__/unit/CactusdealRelayStoreRestored.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayStoreRestored.test.ts
@@ -40,6 +40,7 @@
     },
     observe: () => {},
     observePlatform: () => {},
+    recordRejection: () => {},
   });
   void configurations.run({ list: () => peers } as unknown as Members);
   return { configurations, storeEra, store, requests };
