--- a/packages/relay/src/__tests__/unit/CactusdealRelayStoreRestored.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayStoreRestored.test.ts
@@ -41,6 +41,7 @@
     observe: () => {},
     recordRejection: () => {},
     observePlatform: () => {},
+    recordRejection: () => {},
   });
   void configurations.run({ list: () => peers } as unknown as Members);
   return { configurations, storeEra, store, requests };
