Wake idle daemons by one timer for all repeated tasks

Cause: an idle daemon of 12 woke 21 times a second: for the silence check of links (150 ms), the reader check (250 ms), load reports, the upstream check (500 ms each), link plan and status (1 s each), each by a timer of its own. Change: these tasks share a timer of 500 ms. Links are checked for silence every 150 ms while a call waits on one of them. A reader's failure and the end of a link are noticed at once, an outdated status within 250 ms as before. No load report is encoded when none is due. Pauses of the event loop under 0.6 s may go unnoticed while no call waits on a link.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -1,4 +1,11 @@
-import { type Clock, type Failure, type Log, type Random, waitMs } from '@cactusdeal/shared';
+import {
+  type Clock,
+  type Failure,
+  type Log,
+  type Random,
+  scheduleTicks,
+  waitMs,
+} from '@cactusdeal/shared';
 import { type Either, Left, Right } from 'purify-ts';
 import type { Members } from './CactusdealRelayMembers.js';
 import type { Peer } from './CactusdealRelayPeer.js';
@@ -42,6 +49,8 @@
   buildUpdate(baseVersion: number): VersionUpdate | undefined;
   /** Applies an update from another daemon, or logs why it is rejected. */
   receiveUpdate(peer: Peer, update: VersionUpdate): void;
+  /** Checks whether this daemon has to read from the platform, after a link to another one has ended. */
+  checkRole(): void;
   /** Follows the platform whenever this daemon has to be a reader; resolves after `close`. */
   run(members: Members): Promise<void>;
   close(): void;
@@ -87,7 +96,10 @@
 const STANDBY_COALESCE_MS = 1_200;
 /** Age of a reader's last successful read beyond which it no longer counts as a reader. */
 const STALE_READER_MS = 3_600;
-/** Interval at which a daemon that is not a reader checks whether it has to become one. */
+/**
+ * Longest time for which a daemon leaves it unnoticed that it has to become a reader because what others
+ * said is too old.
+ */
 const ROLE_CHECK_MS = 250;
 const MIN_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 1_600;
@@ -140,6 +152,9 @@
   /** Whether the last request failed or was cut. */
   private isDoubtful = false;
 
+  /** Checks the role while a change of it is waited for. */
+  private observeReaders: (() => void) | undefined;
+
   public constructor(private readonly options: ConfigurationsOptions) {
     options.storeEra.subscribe(() => this.watchCut.abort());
   }
@@ -167,6 +182,7 @@
   }
 
   public receiveStatus(peer: Peer, { version }: Status): void {
+    this.checkRole();
     if (!this.isNewer(version)) return;
     if (peer.member.dataCentre === this.options.self.dataCentre) this.requestUpdate(peer);
     else void this.requestRemoteUpdate(peer, version);
@@ -260,7 +276,7 @@
       const role = this.findRole(members);
       if (role === ReaderRole.None) {
         this.position = undefined;
-        await waitMs(ROLE_CHECK_MS, signal);
+        await this.waitForRoleChange(role, members);
         continue;
       }
       const reading = await this.readPlatform(role, members);
@@ -303,13 +319,11 @@
       const reading = await source.watch(revision, watchMs, cut);
       return cut.aborted ? 'cut' : reading;
     }
-    const timer = setInterval(() => {
-      if (this.findRole(members) !== role) this.watchCut.abort();
-    }, ROLE_CHECK_MS);
+    const stopWatching = this.watchRole(role, members, () => this.watchCut.abort());
     this.isStandby = true;
     const reading = await source.watch(revision, watchMs, cut);
     this.isStandby = false;
-    clearInterval(timer);
+    stopWatching();
     return cut.aborted ? 'cut' : reading;
   }
 
@@ -366,16 +380,51 @@
     this.options.observePlatform();
   }
 
-  private findRole(members: Members): ReaderRole {
-    const lowerReaders = this.countLowerReaders(members);
+  public checkRole(): void {
+    this.observeReaders?.();
+  }
+
+  private waitForRoleChange(role: ReaderRole, members: Members): Promise<void> {
+    return new Promise((resolve) => {
+      const stopWatching = this.watchRole(role, members, () => {
+        stopWatching();
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Calls `observe` when the role is another one or this daemon stops; returns a function that ends the
+   * watch. What other daemons say and the end of their links is noticed at once.
+   */
+  private watchRole(role: ReaderRole, members: Members, observe: () => void): () => void {
+    let timer: NodeJS.Timeout | undefined;
+    const check = (): void => {
+      clearTimeout(timer);
+      if (this.stop.signal.aborted || this.findRole(members) !== role) observe();
+      else if (this.findRole(members, ROLE_CHECK_MS) !== role)
+        timer = setTimeout(check, ROLE_CHECK_MS);
+    };
+    const stopTicks = scheduleTicks(1, check);
+    this.observeReaders = check;
+    return () => {
+      stopTicks();
+      clearTimeout(timer);
+      this.observeReaders = undefined;
+    };
+  }
+
+  /** The role now, or `afterMs` later if nobody says anything until then. */
+  private findRole(members: Members, afterMs = 0): ReaderRole {
+    const lowerReaders = this.countLowerReaders(members, afterMs);
     if (lowerReaders === 0) return ReaderRole.Primary;
     return lowerReaders < READERS_PER_DATA_CENTRE ? ReaderRole.Standby : ReaderRole.None;
   }
 
   /** Counts the readers of the data centre that have a lower id than this daemon. */
-  private countLowerReaders(members: Members): number {
+  private countLowerReaders(members: Members, afterMs: number): number {
     const { self, clock } = this.options;
-    const nowMs = clock();
+    const nowMs = clock() + afterMs;
     const readers = members.list().filter((peer) => {
       if (peer.member.dataCentre !== self.dataCentre || peer.member.id > self.id) return false;
       const status = peer.getStatus();
@@ -388,5 +437,6 @@
   public close(): void {
     this.stop.abort();
     this.watchCut.abort();
+    this.checkRole();
   }
 }
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -6,6 +6,7 @@
   formatError,
   type Log,
   parseAddress,
+  scheduleTicks,
 } from '@cactusdeal/shared';
 import {
   createMessageReader,
@@ -98,15 +99,15 @@
   reportedLoad: number;
 }
 
-/** Interval between load reports within the data centre, in milliseconds. */
-const LOCAL_REPORT_MS = 500;
+/** Ticks between load reports within the data centre. */
+const LOCAL_REPORT_TICKS = 1;
 /**
- * Interval between reports on all links, in milliseconds; long because links between data centres
- * are expensive. Also the longest silence of a healthy link.
+ * Ticks between reports on all links; many because links between data centres are expensive. Also the
+ * longest silence of a healthy link.
  */
-const REMOTE_REPORT_MS = 10_000;
-/** Interval between status messages of a reader, in milliseconds. */
-const READER_STATUS_MS = 1_000;
+const REMOTE_REPORT_TICKS = 20;
+/** Ticks between status messages of a reader. */
+const READER_STATUS_TICKS = 2;
 /**
  * Load up to this fraction of the slots does not affect the choice of a gate, and is not reported.
  */
@@ -121,10 +122,10 @@
     acceptLink(options, links, socket);
   });
   await startListening(server, options.self.address);
-  const timers = [
-    setInterval(pushLoadReports, LOCAL_REPORT_MS),
-    setInterval(pushReaderStatus, READER_STATUS_MS),
-    setInterval(() => pushReport(() => true), REMOTE_REPORT_MS),
+  const stopTicks = [
+    scheduleTicks(LOCAL_REPORT_TICKS, pushLoadReports),
+    scheduleTicks(READER_STATUS_TICKS, pushReaderStatus),
+    scheduleTicks(REMOTE_REPORT_TICKS, () => pushReport(() => true)),
   ];
   return {
     pushReport: () => pushReport(() => true),
@@ -133,7 +134,7 @@
     pushCrashes: (notices) => links.forEach((link) => writeCrashes(link, notices)),
     countCalls: () => [...links].reduce((sum, link) => sum + link.activeCalls.size, 0),
     close: () => {
-      timers.forEach(clearInterval);
+      stopTicks.forEach((stop) => stop());
       links.forEach(({ socket }) => socket.destroy());
       return new Promise((resolve) => {
         server.close(() => resolve());
@@ -148,7 +149,9 @@
   function pushLoadReports(): void {
     const { load, capacity } = options.gate.getReport();
     const minLoad = capacity * MIN_REPORTED_LOAD_FRACTION;
-    pushReport(({ isLocal, reportedLoad }) => isLocal && Math.max(load, reportedLoad) > minLoad);
+    const isDue = ({ isLocal, reportedLoad }: AcceptedLink): boolean =>
+      isLocal && Math.max(load, reportedLoad) > minLoad;
+    if ([...links].some(isDue)) pushReport(isDue);
   }
 
   function pushReport(accept: (link: AcceptedLink) => boolean): void {
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -1,4 +1,4 @@
-import type { ByteBudget, Clock, Log } from '@cactusdeal/shared';
+import { type ByteBudget, type Clock, type Log, scheduleTicks, TICK_MS } from '@cactusdeal/shared';
 import type { GateView } from './CactusdealRelayBalancer.js';
 import { chooseLinks, LinkState } from './CactusdealRelayLinkPlan.js';
 import { createPeer, type Peer, SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
@@ -66,8 +66,10 @@
   readonly receiveQuota?: ReceiveQuota | undefined;
   /** Whether organisations have quotas, which takes links of its own. */
   readonly hasQuotas?: (() => boolean) | undefined;
-  /** Called every `SILENCE_CHECK_MS`, by the timer that checks the links. */
-  readonly checkPause: () => void;
+  /** Called by the timers that check the links, with the time in milliseconds that they explain. */
+  readonly checkPause: (intervalMs: number) => void;
+  /** Called after a link has ended. */
+  readonly observeEnd?: () => void;
   readonly clock: Clock;
   /** Room for unfinished messages and answers of all links. */
   readonly linkBytes: ByteBudget;
@@ -82,16 +84,17 @@
 
 /** Greatest age of a list: what was learned since then goes before it. */
 const MAX_LIST_AGE_MS = 15_000;
-/** Interval between checks of which daemons to keep links to. */
-const LINK_CHECK_MS = 1_000;
+/** Ticks between checks of which daemons to keep links to. */
+const LINK_CHECK_TICKS = 2;
 
 export function createMembers(options: MembersOptions): Members {
   const known = new Map<string, KnownMember>();
   const peers = new Map<string, Peer>();
-  // One timer for all links, so that the process is not woken once for each.
-  const timers = [
-    setInterval(checkPeers, SILENCE_CHECK_MS),
-    setInterval(updateLinks, LINK_CHECK_MS),
+  // While calls wait, one timer checks all links for silence; otherwise the common ticks do.
+  let silenceTimer: NodeJS.Timeout | undefined;
+  const stopTicks = [
+    scheduleTicks(1, checkIdlePeers),
+    scheduleTicks(LINK_CHECK_TICKS, updateLinks),
   ];
   return {
     add: (member) => {
@@ -114,18 +117,39 @@
     countKnown: () => known.size,
     listLost,
     close: () => {
-      timers.forEach(clearInterval);
+      stopTicks.forEach((stop) => stop());
+      clearInterval(silenceTimer);
       peers.forEach((peer) => peer.close());
       peers.clear();
       known.clear();
     },
   };
 
-  function checkPeers(): void {
-    options.checkPause();
+  function checkIdlePeers(): void {
+    if (silenceTimer !== undefined) return;
+    options.checkPause(TICK_MS);
     peers.forEach((peer) => peer.checkSilence());
   }
 
+  function startSilenceChecks(): void {
+    if (silenceTimer !== undefined) return;
+    // The time until now is no pause, and not yet that of the timer.
+    options.checkPause(Infinity);
+    silenceTimer = setInterval(checkWaitingPeers, SILENCE_CHECK_MS);
+  }
+
+  function checkWaitingPeers(): void {
+    options.checkPause(SILENCE_CHECK_MS);
+    let isWaiting = false;
+    peers.forEach((peer) => {
+      peer.checkSilence();
+      if (!peer.isIdle()) isWaiting = true;
+    });
+    if (isWaiting) return;
+    clearInterval(silenceTimer);
+    silenceTimer = undefined;
+  }
+
   function listLost(durationMs: number): readonly string[] {
     const local = [...peers.values()].filter(isLocalPeer);
     const connected = local.filter((peer) => peer.isConnected());
@@ -191,7 +215,8 @@
       if (!chosen.has(id) && peer.isIdle()) removePeer(id);
     });
     known.forEach(({ member }, id) => {
-      if (chosen.has(id) && !peers.has(id)) peers.set(id, createPeer({ ...options, member }));
+      if (chosen.has(id) && !peers.has(id))
+        peers.set(id, createPeer({ ...options, member, observeWaiting: startSilenceChecks }));
     });
   }
 
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -87,7 +87,7 @@
   tellCrashes(notices: readonly CrashNotice[]): void;
   /**
    * Gives up the idempotent calls of a silent link, and closes it once no call waits on it; called
-   * every `SILENCE_CHECK_MS`.
+   * every `SILENCE_CHECK_MS` while calls wait.
    */
   checkSilence(): void;
   close(): void;
@@ -105,6 +105,10 @@
   readonly receiveUpdate: (peer: Peer, update: VersionUpdate) => void;
   /** Handles a message of the quotas; undefined if this daemon keeps none. */
   readonly receiveQuota?: ReceiveQuota | undefined;
+  /** Called when a call begins to wait on a link on which none did; `checkSilence` has to be called from then on. */
+  readonly observeWaiting?: () => void;
+  /** Called after the link has ended. */
+  readonly observeEnd?: () => void;
 }
 
 /** A call that was sent over the link and has not ended. */
@@ -123,7 +127,7 @@
   settle(end: AttemptEnd): void;
 }
 
-/** Interval between checks of all links for silence. */
+/** Interval between checks of all links for silence while calls wait on one of them. */
 export const SILENCE_CHECK_MS = 150;
 
 /** Time without a link after which another gate should take this one's place. */
@@ -262,6 +266,7 @@
     [...this.pendingCalls.values()].forEach(({ settle }) =>
       settle({ type: 'unknown', reason: UnknownReason.LinkLost }),
     );
+    this.options.observeEnd?.();
   }
 
   private isSuspect(): boolean {
@@ -409,7 +414,10 @@
         },
       });
     });
-    if (this.pendingCalls.size === 1) this.link.resetSilence();
+    if (this.pendingCalls.size === 1) {
+      this.link.resetSilence();
+      this.options.observeWaiting?.();
+    }
     this.unreportedCalls += 1;
     this.link.write(toCallMessage(id, call, wantedAtMs));
     return { end, cancel: () => this.cancel(id) };
--- a/packages/relay/src/CactusdealRelayUpstreamTracker.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamTracker.ts
@@ -1,4 +1,4 @@
-import type { Clock, Log } from '@cactusdeal/shared';
+import { type Clock, type Log, scheduleTicks } from '@cactusdeal/shared';
 import type { Heartbeat, Upstream } from './CactusdealRelayTypes.js';
 
 /**
@@ -38,7 +38,7 @@
 
 /** Heartbeat intervals without a heartbeat after which the upstream is suspected to have failed. */
 const MAX_MISSED_HEARTBEATS = 4;
-const SILENCE_CHECK_MS = 500;
+const SILENCE_CHECK_TICKS = 1;
 /** Number of ids whose ended instances are remembered. */
 const MAX_ENDED_IDS = 64;
 
@@ -49,14 +49,14 @@
   const endedStarts = new Map<string, number>();
   let lastHeartbeatAtMs = clock();
   let isSilent = false;
-  const timer = setInterval(checkSilence, SILENCE_CHECK_MS);
+  const stopTicks = scheduleTicks(SILENCE_CHECK_TICKS, checkSilence);
   return {
     receive,
     receiveEnd,
     receiveDeparture,
     receiveLeaving,
     get: () => current,
-    close: () => clearInterval(timer),
+    close: () => stopTicks(),
   };
 
   function receive(heartbeat: Heartbeat): boolean {
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -227,9 +227,10 @@
       quotas.observeLink();
     },
     receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
-    checkPause: () => pauseWatch.check(),
     receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
     hasQuotas: () => quotas.hasRules(),
+    checkPause: (intervalMs) => pauseWatch.check(intervalMs),
+    observeEnd: () => configurations.checkRole(),
     clock,
     linkBytes,
     log,
--- a/packages/shared/src/CactusdealSharedPauseWatch.ts
+++ b/packages/shared/src/CactusdealSharedPauseWatch.ts
@@ -10,8 +10,11 @@
 
 /** Notices that the event loop was blocked or that the process stood still. */
 export interface PauseWatch {
-  /** Called at each interval by the timer of the owner. */
-  check(): void;
+  /**
+   * Called at each interval by the timer of the owner; `intervalMs` is the time since the last call that its timers
+   * explain, that of the options if it is missing.
+   */
+  check(intervalMs?: number): void;
 }
 
 export interface PauseWatchOptions {
@@ -34,10 +37,10 @@
   let usedMs = readProcessorMs();
   return { check };
 
-  function check(): void {
+  function check(expectedMs = intervalMs): void {
     const nowMs = clock();
     const nowUsedMs = readProcessorMs();
-    const durationMs = nowMs - checkedAtMs - intervalMs;
+    const durationMs = nowMs - checkedAtMs - expectedMs;
     const busyMs = nowUsedMs - usedMs;
     checkedAtMs = nowMs;
     usedMs = nowUsedMs;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -53,5 +53,6 @@
   isEndedByClose,
   watchConnectionEnd,
 } from './CactusdealSharedResponseRules.js';
+export { scheduleTicks, TICK_MS } from './CactusdealSharedTicks.js';
 export { waitForStopSignal } from './CactusdealSharedStopSignal.js';
 export { type Clock, getMonotonicMs, getWallTimeMs, waitMs } from './CactusdealSharedTime.js';
