--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -6,6 +6,7 @@
   formatError,
   type Log,
   parseAddress,
+  scheduleTicks,
 } from '@cactusdeal/shared';
 import {
   createMessageReader,
@@ -101,16 +102,15 @@
   told: Pick<GateReport, 'load' | 'failureRate'>;
 }
 
-/** Interval between load reports within the data centre, in milliseconds. */
-const LOCAL_REPORT_MS = 500;
+/** Ticks between load reports within the data centre. */
+const LOCAL_REPORT_TICKS = 1;
 /**
- * Interval between reports on all links, in milliseconds; long because links between data centres
- * are expensive. Also the longest silence of a healthy link.
+ * Ticks between reports on all links; many because links between data centres are expensive. Also the
+ * longest silence of a healthy link.
  */
-const REMOTE_REPORT_MS = 10_000;
-/** Interval between status messages of a reader, in milliseconds. */
-const READER_STATUS_MS = 1_000;
-
+const REMOTE_REPORT_TICKS = 20;
+/** Ticks between status messages of a reader. */
+const READER_STATUS_TICKS = 2;
 /** Bytes of the body of each call that do not count among those that all links hold. */
 const RESERVED_BODY_BYTES = 64 * 1024;
 
@@ -123,10 +123,10 @@
     acceptLink(options, links, socket);
   });
   await startListening(server, options.self.address);
-  const timers = [
-    setInterval(pushLoadReports, LOCAL_REPORT_MS),
-    setInterval(pushReaderStatus, READER_STATUS_MS),
-    setInterval(() => pushReport(() => true), REMOTE_REPORT_MS),
+  const stopTicks = [
+    scheduleTicks(LOCAL_REPORT_TICKS, pushLoadReports),
+    scheduleTicks(READER_STATUS_TICKS, pushReaderStatus),
+    scheduleTicks(REMOTE_REPORT_TICKS, () => pushReport(() => true)),
   ];
   return {
     pushReport: () => pushReport(() => true),
@@ -135,7 +135,7 @@
     pushCrashes: (notices) => links.forEach((link) => writeCrashes(link, notices)),
     countCalls: () => [...links].reduce((sum, link) => sum + link.activeCalls.size, 0),
     close: () => {
-      timers.forEach(clearInterval);
+      stopTicks.forEach((stop) => stop());
       links.forEach(({ socket }) => socket.destroy());
       return new Promise((resolve) => {
         server.close(() => resolve());
@@ -149,7 +149,9 @@
    */
   function pushLoadReports(): void {
     const report = options.gate.getReport();
-    pushReport(({ isLocal, told }) => isLocal && isReportDue(report, told));
+    const isDue = ({ isLocal, told }: AcceptedLink): boolean =>
+      isLocal && isReportDue(report, told);
+    if ([...links].some(isDue)) pushReport(isDue);
   }
 
   function pushReport(accept: (link: AcceptedLink) => boolean): void {
