Spend less on the lines, fields and bytes of a call

Cause: profiles showed work of each call that nothing uses: log fields of a line that is not written, the options of a connection field split anew, a block allocated and filled for one short chunk of an answer, a read buffer of 64 KB allocated for each message on an outgoing link, and copies of a large body as a string. Change: log.debug takes a function for its fields; the usual connection options are constants; the collector of bytes keeps a first chunk that pins no more memory than the block would take; outgoing links read into one buffer and copy what has arrived; bodies above 16 KB go to callers as a buffer.

--- a/packages/relay/src/CactusdealRelayHeaders.ts
+++ b/packages/relay/src/CactusdealRelayHeaders.ts
@@ -50,11 +50,19 @@
 }
 
 const NO_CONNECTION_OPTIONS: readonly string[] = [];
+/** The values that nearly all senders use. */
+const USUAL_CONNECTION_OPTIONS: ReadonlyMap<string, readonly string[]> = new Map(
+  ['close', 'keep-alive'].map((value) => [value, [value]]),
+);
 
 /** Lists the fields that the `connection` field names as hop-by-hop, in lower case. */
 function listConnectionOptions(fields: readonly string[]): readonly string[] {
   const value = findField(fields, 'connection');
   if (value === undefined) return NO_CONNECTION_OPTIONS;
+  return USUAL_CONNECTION_OPTIONS.get(value) ?? parseConnectionOptions(value);
+}
+
+function parseConnectionOptions(value: string): readonly string[] {
   return value
     .toLowerCase()
     .split(',')
--- a/packages/relay/src/CactusdealRelayPeerLink.ts
+++ b/packages/relay/src/CactusdealRelayPeerLink.ts
@@ -7,7 +7,12 @@
   parseAddress,
   waitMs,
 } from '@cactusdeal/shared';
-import { createMessageReader, encodeMessage, type Message } from './CactusdealRelayFrames.js';
+import {
+  createMessageReader,
+  encodeMessage,
+  type Message,
+  type MessageReader,
+} from './CactusdealRelayFrames.js';
 import type { Member } from './CactusdealRelayTypes.js';
 
 /** The connection to another daemon, opened again whenever it ends. */
@@ -45,6 +50,11 @@
   readonly end: () => void;
 }
 
+/**
+ * Buffer that all links read into. The runtime would allocate one of this size for each read; what is read is
+ * copied before the next one.
+ */
+const READ_BUFFER = Buffer.allocUnsafe(64 * 1024);
 const CONNECT_TIMEOUT_MS = 1_000;
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_500;
@@ -84,7 +94,13 @@
   /** Connects and reads messages; resolves to the reason when the connection ends. */
   private connect(): Promise<string> {
     const { host, port } = parseAddress(this.options.member.address);
-    const socket = connect({ host, port, noDelay: true });
+    const reader = createMessageReader(this.options.receive, this.options.linkBytes);
+    const socket: Socket = connect({
+      host,
+      port,
+      noDelay: true,
+      onread: { buffer: READ_BUFFER, callback: (size) => this.readChunk(socket, reader, size) },
+    });
     return new Promise((resolve) => {
       let reason = 'closed by the peer';
       const timeout = setTimeout(
@@ -97,13 +113,13 @@
         clearTimeout(timeout);
         this.startConnection(socket);
       });
-      this.readMessages(socket);
       socket.on('error', (error) => {
         reason = formatError(error);
       });
       socket.on('close', () => {
         clearTimeout(timeout);
         this.stop.signal.removeEventListener('abort', close);
+        reader.close();
         this.endConnection();
         resolve(reason);
       });
@@ -117,17 +133,15 @@
     this.options.open();
   }
 
-  private readMessages(socket: Socket): void {
-    const reader = createMessageReader(this.options.receive, this.options.linkBytes);
-    socket.on('data', (chunk: Buffer) => {
-      this.resetSilence();
-      try {
-        reader.read(chunk);
-      } catch (caught) {
-        socket.destroy(new Error(formatError(caught)));
-      }
-    });
-    socket.on('close', () => reader.close());
+  /** Reads what has arrived in the buffer; true to go on reading. */
+  private readChunk(socket: Socket, reader: MessageReader, size: number): boolean {
+    this.resetSilence();
+    try {
+      reader.read(Buffer.from(READ_BUFFER.subarray(0, size)));
+    } catch (caught) {
+      socket.destroy(new Error(formatError(caught)));
+    }
+    return true;
   }
 
   private endConnection(): void {
--- a/packages/relay/src/CactusdealRelayResponder.ts
+++ b/packages/relay/src/CactusdealRelayResponder.ts
@@ -52,6 +52,8 @@
 /** RFC 9110 section 11.6.1 requires a challenge in each response with status 401. */
 const CHALLENGE: readonly string[] = ['www-authenticate', 'Bearer'];
 const NO_BODY = Buffer.alloc(0);
+/** Largest body that is written as a string. */
+const MAX_STRING_BYTES = 16 * 1024;
 const NO_FIELDS: ReadonlySet<string> = new Set();
 
 export function createResponder({ names, getVersion, log }: ResponderOptions): Responder {
@@ -142,7 +144,8 @@
     headers.push('content-length', String(body.byteLength));
     response.writeHead(status, headers);
     // The runtime writes the header and a string body in one piece, unlike a buffer; latin1 keeps
-    // every byte.
-    response.end(toBuffer(body).toString('latin1'), 'latin1');
+    // every byte. The copies that it makes of a long string cost more than a second piece.
+    if (body.byteLength > MAX_STRING_BYTES) response.end(body);
+    else response.end(toBuffer(body).toString('latin1'), 'latin1');
   }
 }
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -273,8 +273,9 @@
   private logEnd(view: GateView, end: AttemptEnd): void {
     const { log } = this.options;
     const isRoutine = end.type === 'answered' && end.answer.status < MIN_SERVER_ERROR_STATUS;
-    const writeLine = isRoutine && this.tried.size === 1 ? log.debug : log.info;
-    writeLine('attempt-ended', this.buildEndFields(view, end));
+    if (isRoutine && this.tried.size === 1)
+      log.debug('attempt-ended', () => this.buildEndFields(view, end));
+    else log.info('attempt-ended', this.buildEndFields(view, end));
   }
 
   private buildEndFields({ memberId, report, reportedAtMs }: GateView, end: AttemptEnd): LogFields {
--- a/packages/shared/src/CactusdealSharedByteCollector.ts
+++ b/packages/shared/src/CactusdealSharedByteCollector.ts
@@ -56,7 +56,8 @@
         hasExceeded = true;
         return false;
       }
-      if (isWorthKeeping(chunk)) holdChunk(chunk);
+      if (isWorthKeeping(chunk) || (size === chunk.byteLength && isSmallAlone(chunk)))
+        holdChunk(chunk);
       else addCopy(chunk);
       return true;
     },
@@ -129,6 +130,11 @@
   return byteLength >= MIN_KEPT_BYTES && buffer.byteLength <= 2 * byteLength;
 }
 
+/** Whether a first chunk, often the only one, keeps no more memory in use than the block to copy it into. */
+function isSmallAlone({ buffer }: Uint8Array): boolean {
+  return buffer.byteLength <= MIN_BLOCK_BYTES;
+}
+
 /** Views the bytes as a buffer, without a copy. */
 export function toBuffer(bytes: Uint8Array): Buffer {
   return Buffer.isBuffer(bytes)
--- a/packages/shared/src/CactusdealSharedLog.ts
+++ b/packages/shared/src/CactusdealSharedLog.ts
@@ -11,7 +11,8 @@
 
 /** Writes a line for each event, with the event's own fields and those of the log. */
 export interface Log {
-  debug(event: string, fields?: LogFields): void;
+  /** Writes a line at debug level; a function for the fields is called only if the line is written. */
+  debug(event: string, fields?: LogFields | (() => LogFields)): void;
   info(event: string, fields?: LogFields): void;
   warn(event: string, fields?: LogFields): void;
   error(event: string, fields?: LogFields): void;
@@ -55,7 +56,8 @@
   const context = (more: LogFields): Record<string, string> => more as Record<string, string>;
   return {
     debug: (event, more = {}) => {
-      if (shouldLog(LogLevel.Debug)) logger.debug(context(more), event);
+      if (!shouldLog(LogLevel.Debug)) return;
+      logger.debug(context(typeof more === 'function' ? more() : more), event);
     },
     info: (event, more = {}) => {
       if (shouldLog(LogLevel.Info)) logger.info(context(more), event);
--- a/packages/shared/src/__tests__/unit/CactusdealSharedLog.test.ts
+++ b/packages/shared/src/__tests__/unit/CactusdealSharedLog.test.ts
@@ -27,6 +27,14 @@
     write: (log) => log.debug('below-minimum'),
     line: undefined,
   },
+  {
+    name: 'computes no fields of an event below the minimum level',
+    write: (log) =>
+      log.debug('below-minimum', () => {
+        throw new Error('fields of a line that is not written');
+      }),
+    line: undefined,
+  },
 ];
 
 describe('createLog', () => {
