Keep callers' bodies within the memory of the host

Cause: the limits of the parts of a daemon (64 MB of callers' bodies, 96 MB of messages, 64 MB of answers) add up to more than a host of 250 MB has, and each byte is held in copies: bodies are put together, encoded and copied into a frame. A body of a call from a link was not counted once it was complete. A body without room was read on up to twice its limit. Pausing a request did not hold: a resumption that the runtime had scheduled undid it, so that the whole body was read.

Large bodies are written to links without a copy.

--- a/packages/relay/src/CactusdealRelayBody.ts
+++ b/packages/relay/src/CactusdealRelayBody.ts
@@ -24,5 +24,6 @@
     const isAbsent = findField(request.rawHeaders, 'content-length') === undefined;
     return Promise.resolve(Right(isAbsent ? undefined : NO_BODY));
   }
-  return collectRequestBody(request, getOptions());
+  const announcedBytes = Number(findField(request.rawHeaders, 'content-length') ?? 0);
+  return collectRequestBody(request, { ...getOptions(), announcedBytes });
 }
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -12,6 +12,7 @@
 } from '@cactusdeal/shared';
 import { type ReadBody, readBody } from './CactusdealRelayBody.js';
 import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
+import { type BodyRoom, createBodyRoom } from './CactusdealRelayBodyRoom.js';
 import {
   type CallerRequests,
   createCallerRequests,
@@ -19,6 +20,7 @@
 } from './CactusdealRelayCallerRequest.js';
 import { createDeadlines, type Deadlines } from './CactusdealRelayDeadlines.js';
 import { findField } from './CactusdealRelayHeaders.js';
+import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 import { checkApiKey, computeRank } from './CactusdealRelayOrganisations.js';
 import type { QuotaLimiter } from './CactusdealRelayQuotas.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
@@ -68,6 +70,10 @@
   readonly clock: Clock;
   readonly pacer: ChunkPacer;
   readonly log: Log;
+  /** Room for the bodies of callers' calls, from their arrival to their end. */
+  readonly callerBytes?: ByteBudget;
+  /** Called for each body that is refused because others have taken the memory. */
+  readonly recordEviction?: () => void;
   /** Whether the upstream on this host is running the call with this id. */
   readonly isRunning: (callId: string) => boolean;
   /**
@@ -92,9 +98,7 @@
 
 /** Limit of the HTTP parser; above what any configuration allows. */
 const MAX_HEADER_BYTES = 64 * 1024;
-/** Most bytes of bodies that callers' calls hold together, from their arrival to their end. */
-const MAX_HELD_BYTES = 64 * 1024 * 1024;
-/** Bytes of each body that do not count among them. */
+/** Bytes of each body that do not count among those that all hold together. */
 const RESERVED_BYTES = 16 * 1024;
 /** For bodies that are read and discarded. */
 const NO_BYTES: ByteBudget = createByteBudget(0);
@@ -149,7 +153,9 @@
   /** Time for a body of a call without a route, in milliseconds. */
   private idleTimeoutMs = MAX_DEADLINE_MS;
 
-  private readonly heldBytes: ByteBudget = createByteBudget(MAX_HELD_BYTES);
+  private readonly heldBytes: ByteBudget;
+
+  private readonly bodyRoom: BodyRoom;
 
   private readonly deadlines: Deadlines;
 
@@ -167,6 +173,8 @@
     const { names, log, getRoutes, clock } = options;
     this.requests = createCallerRequests(names, options.callerService);
     this.deadlines = createDeadlines(clock);
+    this.heldBytes = options.callerBytes ?? createMemoryBudgets().callers;
+    this.bodyRoom = createBodyRoom(this.heldBytes, options.clock, options.recordEviction);
     this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
@@ -224,7 +232,9 @@
       const isKept = type === 'admitted';
       return {
         maxBytes: this.maxBodyBytes,
-        budget: isKept ? this.heldBytes : NO_BYTES,
+        ...(isKept
+          ? { enterRoom: (refuse: () => void) => this.bodyRoom.enter(refuse) }
+          : { budget: NO_BYTES }),
         reservedBytes: isKept ? RESERVED_BYTES : 0,
         pacer: this.options.pacer,
         // A call whose body is complete only after its deadline could not be served.
--- a/packages/relay/src/CactusdealRelayFrames.ts
+++ b/packages/relay/src/CactusdealRelayFrames.ts
@@ -1,5 +1,6 @@
-import { type ByteBudget, createByteBudget, createByteCollector } from '@cactusdeal/shared';
+import { type ByteBudget, createByteCollector } from '@cactusdeal/shared';
 import { Encoder } from 'cbor-x';
+import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 
 /** Kinds of messages on a link; the first element of each message. */
 export const MessageKind = {
@@ -45,16 +46,39 @@
   return frame;
 }
 
-/** Most bytes of unfinished messages and answers that all links of a daemon hold together. */
-const MAX_LINK_BYTES = 96 * 1024 * 1024;
-/** Bytes of each unfinished message that do not count among them. */
-const RESERVED_BYTES = 64 * 1024;
+/** Least size of a field of bytes that is written without a copy. */
+const MIN_UNCOPIED_BYTES = 64 * 1024;
+/** First bytes of an array of up to 23 elements and of a byte string with a length of 4 bytes; RFC 8949. */
+const CBOR_ARRAY = 0x80;
+const CBOR_LONG_BYTES = 0x5a;
 
-/** Creates the budget of the links of a daemon. */
-export function createLinkBudget(): ByteBudget {
-  return createByteBudget(MAX_LINK_BYTES);
+/**
+ * Encodes a message as `encodeMessage` does, in parts to write one after the other. A large field of bytes is a
+ * part of its own and no copy, so that a large body is in memory once while it is written.
+ */
+export function encodeParts(message: Message): readonly Uint8Array[] {
+  const index = message.findIndex(
+    (field) => field instanceof Uint8Array && field.byteLength >= MIN_UNCOPIED_BYTES,
+  );
+  if (index < 0) return [encodeMessage(message)];
+  const bytes = message[index] as Uint8Array;
+  const encodeFields = (fields: readonly unknown[]): Buffer =>
+    Buffer.concat(fields.map((field) => Buffer.from(encoder.encode(field))));
+  const start = encodeFields(message.slice(0, index));
+  const end = encodeFields(message.slice(index + 1));
+  const head = Buffer.alloc(LENGTH_BYTES + 1);
+  const bytesHead = Buffer.alloc(1 + LENGTH_BYTES);
+  bytesHead.writeUInt8(CBOR_LONG_BYTES, 0);
+  bytesHead.writeUInt32BE(bytes.byteLength, 1);
+  const bodyLength = 1 + start.length + bytesHead.length + bytes.byteLength + end.length;
+  head.writeUInt32BE(bodyLength, 0);
+  head.writeUInt8(CBOR_ARRAY + message.length, LENGTH_BYTES);
+  return [Buffer.concat([head, start, bytesHead]), bytes, end];
 }
 
+/** Bytes of each unfinished message that do not count among them. */
+const RESERVED_BYTES = 64 * 1024;
+
 /** Splits the byte stream of a link into messages. */
 export interface MessageReader {
   /**
@@ -70,7 +94,7 @@
 
 export function createMessageReader(
   receive: (message: Message) => void,
-  budget: ByteBudget = createLinkBudget(),
+  budget: ByteBudget = createMemoryBudgets().links,
 ): MessageReader {
   const maxBytes = 2 * (LENGTH_BYTES + MAX_MESSAGE_BYTES);
   const unread = createByteCollector({ maxBytes, budget, reservedBytes: RESERVED_BYTES });
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -1,5 +1,5 @@
 import { type CrashWatch, createCrashWatch, type Quarantine } from '@cactusdeal/quarantine';
-import type { ChunkPacer, Clock, Log } from '@cactusdeal/shared';
+import type { ByteBudget, ChunkPacer, Clock, Log } from '@cactusdeal/shared';
 import {
   type Admission,
   type AdmissionOrganisations,
@@ -74,6 +74,8 @@
   readonly names: HeaderNames;
   readonly clock: Clock;
   readonly pacer: ChunkPacer;
+  /** Room for unfinished answers. */
+  readonly answerBytes?: ByteBudget;
   readonly log: Log;
   /** Called when the gate may have opened or closed. */
   readonly observe: () => void;
@@ -139,10 +141,10 @@
   private sweepTimer: NodeJS.Timeout | undefined;
 
   public constructor(private readonly options: GateOptions) {
-    const { address, names, clock, pacer, log } = options;
+    const { address, names, clock, pacer, answerBytes: heldBytes, log } = options;
     this.limit = createUpstreamLimit({ clock, log, observe: options.observe });
     this.admission = createAdmission<TrackedCall>(this.serviceTimes, this.limit.rateLimit, options);
-    this.pool = createUpstreamPool({ address, idField: names.callId, clock, pacer });
+    this.pool = createUpstreamPool({ address, idField: names.callId, clock, pacer, heldBytes });
     this.crashWatch = createCrashWatch({
       recordCrash: (fingerprint, inFlight) => {
         options.recordInterruption();
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -19,6 +19,7 @@
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
 import {
   type Attempt,
+  buildNotRun,
   type AttemptEnd,
   CallStage,
   type CrashNoticeExchange,
@@ -27,6 +28,7 @@
   type GateReport,
   type HeaderNames,
   type Member,
+  NotRunReason,
 } from './CactusdealRelayTypes.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
@@ -75,7 +77,7 @@
   readonly buildUpdate: (version: number) => VersionUpdate | undefined;
   /** Called with each daemon that connects, known or not. */
   readonly receiveMember: (member: Member) => void;
-  /** Room for unfinished messages, shared with all other links. */
+  /** Room for unfinished messages and the bodies of calls, shared with all other links. */
   readonly linkBytes: ByteBudget;
   readonly recordCancelled: (stage: CallStage) => void;
   /** Handles a message of the quotas; undefined if this daemon keeps none. */
@@ -112,6 +114,9 @@
  */
 const MIN_REPORTED_LOAD_FRACTION = 0.4;
 
+/** Bytes of the body of each call that do not count among those that all links hold. */
+const RESERVED_BODY_BYTES = 64 * 1024;
+
 const NO_BODY = new Uint8Array(0);
 
 /** Starts listening; rejects when the address is taken. */
@@ -293,16 +298,22 @@
 }
 
 function serveCall(
-  { gate }: LinkListenerOptions,
+  { gate, linkBytes }: LinkListenerOptions,
   acceptedLink: AcceptedLink,
   id: number,
   call: GateCall,
 ): void {
   const link = acceptedLink;
+  const heldBytes = Math.max(0, (call.body?.byteLength ?? 0) - RESERVED_BODY_BYTES);
+  if (!linkBytes.take(heldBytes)) {
+    writeEnd(link, id, buildNotRun(NotRunReason.NoMemory), gate.getReport());
+    return;
+  }
   const attempt = gate.serve(call);
   link.activeCalls.set(id, attempt);
   void attempt.end.then((end) => {
     link.activeCalls.delete(id);
+    linkBytes.release(heldBytes);
     const report = gate.getReport();
     link.reportedLoad = report.load;
     writeEnd(link, id, end, report);
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -14,6 +14,8 @@
   recordInterruption(): void;
   /** Counts a call that was cancelled. */
   recordCancelled(stage: CallStage): void;
+  /** Counts a body of a caller that was refused because others had taken the memory. */
+  recordEviction(): void;
   /** Counts a call that got 401. */
   recordUnauthorised(): void;
   /** Counts a call that started before one whose organisation had used more of the upstream's slots. */
@@ -80,6 +82,11 @@
     labelNames: ['stage'],
     registers,
   });
+  const evictions = new Counter({
+    name: 'cactusdeal_bodies_evicted_total',
+    help: 'Bodies of callers that were refused because others had taken the memory',
+    registers,
+  });
   const unauthorisedCalls = new Counter({
     name: 'cactusdeal_unauthorised_calls_total',
     help: 'Calls that got 401, as they had no API key of an organisation',
@@ -145,6 +152,7 @@
     recordSent: (isNested) => sentCalls.inc({ nested: String(isNested) }),
     recordInterruption: () => interruptions.inc(),
     recordCancelled: (stage) => cancelledCalls.inc({ stage }),
+    recordEviction: () => evictions.inc(),
     recordUnauthorised: () => unauthorisedCalls.inc(),
     recordReordered: () => reorderedCalls.inc(),
     recordRejection: () => rejections.inc(),
--- a/packages/relay/src/CactusdealRelayPeerLink.ts
+++ b/packages/relay/src/CactusdealRelayPeerLink.ts
@@ -9,7 +9,7 @@
 } from '@cactusdeal/shared';
 import {
   createMessageReader,
-  encodeMessage,
+  encodeParts,
   type Message,
   type MessageReader,
 } from './CactusdealRelayFrames.js';
@@ -155,7 +155,7 @@
   }
 
   public write(message: Message): void {
-    this.socket?.write(encodeMessage(message));
+    encodeParts(message).forEach((part) => this.socket?.write(part));
   }
 
   public writeFrame(frame: Buffer): void {
--- a/packages/relay/src/CactusdealRelayUpstream.ts
+++ b/packages/relay/src/CactusdealRelayUpstream.ts
@@ -1,11 +1,8 @@
-import { type ChunkPacer, type Clock, createByteBudget } from '@cactusdeal/shared';
+import { type ByteBudget, type ChunkPacer, type Clock, createByteBudget } from '@cactusdeal/shared';
 import { Client } from 'undici';
+import { MAX_ANSWERS_BYTES } from './CactusdealRelayMemory.js';
 import type { Answer } from './CactusdealRelayTypes.js';
-import {
-  createHandler,
-  MAX_ANSWER_BYTES,
-  MAX_HELD_BYTES,
-} from './CactusdealRelayUpstreamAnswer.js';
+import { createHandler, MAX_ANSWER_BYTES } from './CactusdealRelayUpstreamAnswer.js';
 import {
   type ConnectionState,
   createConnectionState,
@@ -54,6 +51,8 @@
   readonly idField: string;
   readonly clock: Clock;
   readonly pacer: ChunkPacer;
+  /** Room for unfinished answers. */
+  readonly heldBytes?: ByteBudget | undefined;
 }
 
 interface Connection {
@@ -84,8 +83,7 @@
 export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
   const idleConnections: Connection[] = [];
   const openConnections = new Set<Connection>();
-  const { pacer } = options;
-  const heldBytes = createByteBudget(MAX_HELD_BYTES);
+  const { pacer, heldBytes = createByteBudget(MAX_ANSWERS_BYTES) } = options;
   const busyConnections = new Set<Connection>();
   let excessTimer: NodeJS.Timeout | undefined;
   let noReuseUntilMs = 0;
--- a/packages/relay/src/CactusdealRelayUpstreamAnswer.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamAnswer.ts
@@ -13,8 +13,6 @@
 
 /** Largest body of an answer; a longer one breaks the request. */
 export const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
-/** Most bytes of unfinished answers that a pool holds; the answer that exceeds it is broken. */
-export const MAX_HELD_BYTES = 64 * 1024 * 1024;
 /** Most interim responses before an answer. */
 const MAX_INTERIM_RESPONSES = 8;
 
@@ -103,7 +101,7 @@
 function explainExcess(bodyBytes: number): string {
   return bodyBytes > MAX_ANSWER_BYTES
     ? `answer of more than ${MAX_ANSWER_BYTES} bytes`
-    : `unfinished answers hold more than ${MAX_HELD_BYTES} bytes`;
+    : `no memory after ${bodyBytes} bytes of the answer`;
 }
 
 function decodeHeaders(raw: readonly Buffer[] | undefined): string[] {
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -18,7 +18,6 @@
 } from './CactusdealRelayConfigurations.js';
 import { createCrashExchange } from './CactusdealRelayCrashExchange.js';
 import { type Entry, startEntry } from './CactusdealRelayEntry.js';
-import { createLinkBudget } from './CactusdealRelayFrames.js';
 import { createGate, type Gate } from './CactusdealRelayGate.js';
 import { createKnownLimits } from './CactusdealRelayKnownLimits.js';
 import {
@@ -26,6 +25,7 @@
   startLinkListener,
   StatusAudience,
 } from './CactusdealRelayLinkListener.js';
+import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 import { createMembers, type Members } from './CactusdealRelayMembers.js';
 import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
 import type { ConfigurationSource, MemberRegistry } from './CactusdealRelayPorts.js';
@@ -55,6 +55,10 @@
   readonly heartbeatMs: number;
   /** Time between the signal to stop and the kill, in milliseconds. */
   readonly graceMs: number;
+  /** Memory of the host, in bytes; each part of the daemon has only a limit of its own without it. */
+  readonly hostBytes?: number;
+  /** Makes the runtime collect garbage, if it offers that. */
+  readonly collectGarbage?: () => unknown;
   readonly names: HeaderNames;
   readonly source: ConfigurationSource;
   readonly registry: MemberRegistry;
@@ -126,7 +130,8 @@
   const { random } = Math;
   const log = createLog({ daemon: self.id });
   const startedAtMs = clock();
-  const linkBytes = createLinkBudget();
+  const memory = createMemoryBudgets(options.hostBytes, options.collectGarbage);
+  const linkBytes = memory.links;
   const deferredTasks = createDeferredTasks();
   let isStopping = false;
 
@@ -150,6 +155,7 @@
     names,
     clock,
     pacer,
+    answerBytes: memory.answers,
     log,
     observe: () => listener?.pushReport(),
     receiveLeaving: (upstream) => upstreamTracker.receiveLeaving(upstream),
@@ -289,6 +295,8 @@
     log,
     isRunning: (callId) => gate.isRunning(callId),
     recordNestedFailure: (callId) => gate.recordNestedFailure(callId),
+    callerBytes: memory.callers,
+    recordEviction: metrics.recordEviction,
     quota: quotas,
     recordOverQuota: metrics.recordOverQuota,
     recordCall: metrics.recordCall,
--- a/packages/relay/src/__tests__/unit/CactusdealRelayFrames.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayFrames.test.ts
@@ -2,13 +2,13 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import {
-  createLinkBudget,
   createMessageReader,
   encodeMessage,
   MAX_MESSAGE_BYTES,
   type Message,
   MessageKind,
 } from '../../CactusdealRelayFrames.js';
+import { createMemoryBudgets } from '../../CactusdealRelayMemory.js';
 
 const SEED = 20261204;
 const UNFINISHED_BYTES = 1_000_000;
@@ -47,7 +47,7 @@
 
   /** Guards against links that send large messages at once and end none of them. */
   it('share one limit on memory while they are unfinished', () => {
-    const budget = createLinkBudget();
+    const budget = createMemoryBudgets().links;
     const { read, close } = createMessageReader(() => {}, budget);
     const head = Buffer.alloc(4);
     head.writeUInt32BE(MAX_MESSAGE_BYTES);
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -3,12 +3,12 @@
 import { describe, it } from 'node:test';
 import { createSilentLog, getMonotonicMs, parseAddress } from '@cactusdeal/shared';
 import {
-  createLinkBudget,
   createMessageReader,
   encodeMessage,
   type Message,
   MessageKind,
 } from '../../CactusdealRelayFrames.js';
+import { createMemoryBudgets } from '../../CactusdealRelayMemory.js';
 import type { Gate } from '../../CactusdealRelayGate.js';
 import { startLinkListener } from '../../CactusdealRelayLinkListener.js';
 import { buildNotRun, NotRunReason } from '../../CactusdealRelayTypes.js';
@@ -62,7 +62,7 @@
         receiveDeparture: () => {},
         ...NO_CRASHES,
         receiveMember: () => {},
-        linkBytes: createLinkBudget(),
+        linkBytes: createMemoryBudgets().links,
         recordCancelled: () => {},
         names: NAMES,
         clock: getMonotonicMs,
--- a/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayMembers.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createSilentLog } from '@cactusdeal/shared';
-import { createLinkBudget } from '../../CactusdealRelayFrames.js';
+import { createMemoryBudgets } from '../../CactusdealRelayMemory.js';
 import { createMembers } from '../../CactusdealRelayMembers.js';
 import type { Member } from '../../CactusdealRelayTypes.js';
 import { NO_CRASHES } from '../CactusdealRelayFixtures.js';
@@ -68,7 +68,7 @@
         receiveDeparture: () => {},
         ...NO_CRASHES,
         clock: () => nowMs,
-        linkBytes: createLinkBudget(),
+        linkBytes: createMemoryBudgets().links,
         log: createSilentLog(),
       });
       members.add(build('d2', 2));
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -3,12 +3,12 @@
 import { describe, it } from 'node:test';
 import { createSilentLog, getMonotonicMs, parseAddress } from '@cactusdeal/shared';
 import {
-  createLinkBudget,
   createMessageReader,
   encodeMessage,
   type Message,
   MessageKind,
 } from '../../CactusdealRelayFrames.js';
+import { createMemoryBudgets } from '../../CactusdealRelayMemory.js';
 import { createPeer, type Peer, SILENCE_CHECK_MS } from '../../CactusdealRelayPeer.js';
 import type { AttemptEnd, GateCall, Member } from '../../CactusdealRelayTypes.js';
 import { toEndMessage, toHelloMessage, toReportMessage } from '../../CactusdealRelayWire.js';
@@ -74,7 +74,7 @@
     receiveStatus: () => {},
     receiveUpdate: () => {},
     clock: getMonotonicMs,
-    linkBytes: createLinkBudget(),
+    linkBytes: createMemoryBudgets().links,
     log: createSilentLog(),
   });
   const timer = setInterval(() => peer.checkSilence(), SILENCE_CHECK_MS);
--- a/packages/shared/src/CactusdealSharedByteCollector.ts
+++ b/packages/shared/src/CactusdealSharedByteCollector.ts
@@ -7,7 +7,7 @@
 export interface ByteCollector {
   /**
    * Adds a chunk, which must not change afterwards. False if the bytes exceed a limit; all that was
-   * collected is then discarded, and further chunks are ignored.
+   * collected is then discarded, and further chunks are ignored, except with `keepsOnShortage`.
    */
   add(chunk: Uint8Array): boolean;
   /** Number of bytes held. */
@@ -25,6 +25,8 @@
   readonly budget?: ByteBudget;
   /** First bytes that are not taken from the budget, so that large streams do not shut out small ones. */
   readonly reservedBytes?: number;
+  /** Keeps what is held when a chunk finds no room in the budget, so that the chunk can be added later. */
+  readonly keepsOnShortage?: boolean;
 }
 
 /** Smallest chunk that is kept without a copy; a buffer object costs over a hundred bytes itself. */
@@ -39,6 +41,7 @@
   maxBytes,
   budget,
   reservedBytes = 0,
+  keepsOnShortage = false,
 }: ByteCollectorOptions): ByteCollector {
   let pieces: Buffer[] = [];
   let size = 0;
@@ -52,6 +55,7 @@
     add: (chunk) => {
       if (hasExceeded) return false;
       if (!takeRoom(size + chunk.byteLength)) {
+        if (keepsOnShortage && size + chunk.byteLength <= maxBytes) return false;
         discard();
         hasExceeded = true;
         return false;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -7,6 +7,7 @@
 export {
   type BodyFailure,
   BodyFailureKind,
+  type BodySeat,
   collectBody,
   type CollectBodyOptions,
   collectRequestBody,
