--- a/packages/schema/scripts/generate.mjs
+++ b/packages/schema/scripts/generate.mjs
@@ -49,7 +49,20 @@
     '| key | meaning | allowed | default |',
     '| --- | --- | --- | --- |',
   ];
-  return format([...head, ...rows, ''].join('\n'), { parser: 'markdown', printWidth: 100 });
+  const foot = [
+    '',
+    '## On the platform of the users',
+    '',
+    'The daemon of `platform/` reads the settings of `deploy/settings.template.toml`. One of them is optional:',
+    '',
+    '| key | meaning | allowed | default |',
+    '| --- | --- | --- | --- |',
+    '| `memoryMb` | Memory of the host, in megabytes (2^20 bytes). What the daemon holds of what others send stays within it together with the runtime; a body without room waits for 1 s at most and is then refused with 503. | number above 0 | none: only each part has a limit |',
+  ];
+  return format([...head, ...rows, ...foot, ''].join('\n'), {
+    parser: 'markdown',
+    printWidth: 100,
+  });
 }
 
 function listSettings(schema, prefix, required) {
