--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -20,6 +20,7 @@
 } from './CactusdealRelayCallerRequest.js';
 import { createDeadlines, type Deadlines } from './CactusdealRelayDeadlines.js';
 import { findField } from './CactusdealRelayHeaders.js';
+import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 import { checkApiKey, computeRank } from './CactusdealRelayOrganisations.js';
 import type { QuotaLimiter } from './CactusdealRelayQuotas.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
@@ -70,9 +71,9 @@
   readonly pacer: ChunkPacer;
   readonly log: Log;
   /** Room for the bodies of callers' calls, from their arrival to their end. */
-  readonly callerBytes: ByteBudget;
+  readonly callerBytes?: ByteBudget;
   /** Called for each body that is refused because others have taken the memory. */
-  readonly recordEviction: () => void;
+  readonly recordEviction?: () => void;
   /** Whether the upstream on this host is running the call with this id. */
   readonly isRunning: (callId: string) => boolean;
   /**
@@ -172,8 +173,8 @@
     const { names, log, getRoutes, clock } = options;
     this.requests = createCallerRequests(names, options.callerService);
     this.deadlines = createDeadlines(clock);
-    this.heldBytes = options.callerBytes;
-    this.bodyRoom = createBodyRoom(this.heldBytes, clock, options.recordEviction);
+    this.heldBytes = options.callerBytes ?? createMemoryBudgets().callers;
+    this.bodyRoom = createBodyRoom(this.heldBytes, options.clock, options.recordEviction);
     this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
@@ -232,8 +233,9 @@
       return {
         maxBytes: this.maxBodyBytes,
         ...(isKept
-          ? { enterRoom: (refuse) => this.bodyRoom.enter(refuse), reservedBytes: RESERVED_BYTES }
-          : { budget: NO_BYTES, reservedBytes: 0 }),
+          ? { enterRoom: (refuse: () => void) => this.bodyRoom.enter(refuse) }
+          : { budget: NO_BYTES }),
+        reservedBytes: isKept ? RESERVED_BYTES : 0,
         pacer: this.options.pacer,
         // A call whose body is complete only after its deadline could not be served.
         timeoutMs: Math.min(remainingMs, rule?.timeoutMs ?? this.idleTimeoutMs),
