Roll a new version of an upstream's software out by an operator's order

Cause: a new version was used like any other as soon as its upstreams were ready, so a bad one got its full share of the calls.

Change: readers see orders beside the configuration, by the same watch with the operators' prefix. Entries send the ordered version a small share of what the other versions take, gates count answers by version and kind, one daemon of each data centre compares and decides, and the status is written by compare-and-swap. A rollback binds at once; a success once the store holds it. Without an order no message is sent and no version is left out, except for the first 30 s of a version that appears beside others.

Result: two cluster tests with real daemons pass: a version whose answers fail is rolled back and gets no further call, a sound one is in force before its deadline.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -62,6 +62,8 @@
   readonly observe: (configuration: RelayConfiguration, origin: VersionOrigin) => void;
   /** Called with each version that is rejected because it cannot be read. */
   readonly recordRejection: () => void;
+  /** Called with each reading, for what it holds besides the configuration. */
+  readonly receiveReading?: (reading: ConfigurationReading) => void;
   /** Called when reading from the platform fails and when it works again. */
   readonly observePlatform: () => void;
 }
@@ -336,6 +338,7 @@
     storeEra.record(era, EraOrigin.Platform);
     this.recordRead();
     this.applySources(sources);
+    this.options.receiveReading?.(reading);
     this.position = verdict === ReadingVerdict.Continue ? { revision, era } : undefined;
     return Right(reading);
   }
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -13,6 +13,7 @@
 } from './CactusdealRelayAnswerKind.js';
 import { applyRateLimit } from './CactusdealRelayGateReport.js';
 import { findField } from './CactusdealRelayHeaders.js';
+import type { RequestResult } from './CactusdealRelayRolloutCounts.js';
 import { createServiceTimes, type ServiceTimes } from './CactusdealRelayServiceTimes.js';
 import { createTrackedCall, settleCall, type TrackedCall } from './CactusdealRelayTrackedCall.js';
 import {
@@ -83,6 +84,8 @@
   /** Called for each fingerprint among the calls that a crash of the upstream interrupted. */
   readonly recordInterruption: () => void;
   readonly recordCancelled: (stage: CallStage) => void;
+  /** Called with the end of each request to the upstream. */
+  readonly recordResult?: (result: RequestResult) => void;
   /** Called with an instance that said in an answer that it is about to stop. */
   readonly receiveLeaving: (upstream: Upstream) => void;
 }
@@ -271,6 +274,10 @@
   ): void {
     const serviceMs = this.options.clock() - startedAtMs;
     this.admission.release();
+    const isCancelled = tracked.state === 'ended';
+    const { call } = tracked;
+    const request = { call, upstream, end: result, serviceMs, nestedFailed, isCancelled };
+    this.options.recordResult?.(request);
     if (result.type === 'answered') this.recordSignals(upstream, startedAtMs, result.answer);
     const attemptEnd = this.convertEnd(tracked, upstream, result, serviceMs);
     const limit = this.limit.get();
@@ -426,13 +433,15 @@
     this.admission.setCapacity(isOpen ? next.capacity : 0);
     if (before?.id !== next?.id) this.unreachableUntilMs = 0;
     if (!isOpen) this.refuseWaiting();
-    if (before?.id === next?.id && before?.state === next?.state) return;
+    const isSameVersion = before?.softwareVersion === next?.softwareVersion;
+    if (before?.id === next?.id && before?.state === next?.state && isSameVersion) return;
     this.options.log.info('upstream-changed', {
       upstream: next?.id,
       service: next?.service,
       state: next?.state ?? 'unknown',
       capacity: next?.capacity,
       sequence: next?.sequence,
+      version: next?.softwareVersion,
     });
     this.options.observe();
   }
@@ -453,6 +462,7 @@
       load: running + waiting,
       serviceMs: Math.round(this.serviceTimes.getMean()),
       failureRate: Math.round(this.failureRate * 100) / 100,
+      softwareVersion: upstream?.softwareVersion,
     };
     return applyRateLimit(report, this.limit.rateLimit, waiting, nowMs);
   }
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -17,6 +17,7 @@
 import { createHeldCalls, type HeldCalls } from './CactusdealRelayHeldCalls.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
+import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -57,6 +58,8 @@
   pushDeparture(): void;
   /** Tells all linked daemons of calls that crashed upstreams. */
   pushCrashes(notices: readonly CrashNotice[]): void;
+  /** Sends a message of another part of the daemon to all linked daemons. */
+  pushMessage(message: Message): void;
   /** Counts the calls of other daemons that have not ended. */
   countCalls(): number;
   close(): Promise<void>;
@@ -75,6 +78,7 @@
   readonly buildUpdate: (version: number) => VersionUpdate | undefined;
   /** Called with each daemon that connects, known or not. */
   readonly receiveMember: (member: Member) => void;
+  readonly rollouts?: RolloutExchange;
   /** Room for unfinished messages, shared with all other links. */
   readonly linkBytes: ByteBudget;
   readonly recordCancelled: (stage: CallStage) => void;
@@ -131,6 +135,7 @@
     pushStatus,
     pushDeparture: () => links.forEach((link) => writeDeparture(options, link, options.self.id)),
     pushCrashes: (notices) => links.forEach((link) => writeCrashes(link, notices)),
+    pushMessage: (message) => links.forEach((link) => write(link, message)),
     countCalls: () => [...links].reduce((sum, link) => sum + link.activeCalls.size, 0),
     close: () => {
       timers.forEach(clearInterval);
@@ -223,6 +228,8 @@
       link.member = member;
       link.isLocal = member.dataCentre === options.self.dataCentre;
       write(link, toHelloMessage(options.self, options.getStatus(), options.clock()));
+      // The entry then knows which versions are in force before it knows the gate's.
+      options.rollouts?.listMessages().forEach((each) => write(link, each));
       write(link, toReportMessage(options.gate.getReport()));
       writeDeparture(options, link, options.self.id);
       writeDeparture(options, link, member.id);
@@ -257,6 +264,10 @@
       if (link.member !== undefined)
         options.receiveQuota?.(link.member, message, (frame) => writeFrame(link, frame));
       break;
+    case MessageKind.RolloutCounts:
+    case MessageKind.RolloutState:
+      options.rollouts?.receive(message, link.isLocal);
+      break;
     case MessageKind.Limit:
       options.gate.restoreLimit(parseLimit(message));
       break;
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -10,6 +10,7 @@
   LimitExchange,
   Member,
 } from './CactusdealRelayTypes.js';
+import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import type { Status } from './CactusdealRelayWire.js';
 
@@ -66,6 +67,7 @@
   readonly receiveQuota?: ReceiveQuota | undefined;
   /** Whether organisations have quotas, which takes links of its own. */
   readonly hasQuotas?: (() => boolean) | undefined;
+  readonly rollouts?: RolloutExchange;
   /** Called every `SILENCE_CHECK_MS`, by the timer that checks the links. */
   readonly checkPause: () => void;
   readonly clock: Clock;
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -3,6 +3,7 @@
 import type { CallRecord } from './CactusdealRelayEntry.js';
 import type { QuotaStatus } from './CactusdealRelayQuotaExchange.js';
 import { addQuotaMetrics } from './CactusdealRelayQuotaMetrics.js';
+import type { Rollout } from './CactusdealRelayRolloutTypes.js';
 import type { CallStage, GateReport } from './CactusdealRelayTypes.js';
 
 /** The relay's metrics for Prometheus. */
@@ -22,6 +23,8 @@
   recordRejection(): void;
   /** Counts what this release does not know in a version that came into force. */
   recordWarnings(count: number): void;
+  /** Counts a call that this entry sent to the target of a running rollout. */
+  recordExposure(service: string): void;
   recordPause(pause: Pause): void;
   recordOverQuota(organisation: string): void;
   /** Renders the metrics in the text exposition format. */
@@ -43,6 +46,7 @@
   getStoreEra(): number;
   /** Counts the fingerprints whose calls are refused because they crashed upstreams. */
   countQuarantined(): number;
+  listRollouts(): readonly Rollout[];
   countLinks(): number;
   countLostLines(): number;
   /** Undefined while no organisation has a quota. */
@@ -100,6 +104,25 @@
     help: 'What this release does not know in versions that came into force',
     registers,
   });
+  const exposures = new Counter({
+    name: 'cactusdeal_rollout_calls_total',
+    help: 'Calls that this entry sent to the target of a running rollout, by service',
+    labelNames: ['service'],
+    registers,
+  });
+  const rollouts: Gauge = new Gauge({
+    name: 'cactusdeal_rollout',
+    help: 'Known rollouts, by service, target version, phase and whether the store holds it',
+    labelNames: ['service', 'target', 'phase', 'stored'],
+    registers,
+    collect: () => {
+      rollouts.reset();
+      sources.listRollouts().forEach(({ order, phase, isStored }) => {
+        const { service, targetVersion: target } = order;
+        rollouts.set({ service, target, phase, stored: String(isStored) }, 1);
+      });
+    },
+  });
   const pauses = new Histogram({
     name: 'cactusdeal_event_loop_pause_seconds',
     help: 'Times of 0.1 s and more in which the daemon handled nothing',
@@ -149,6 +172,7 @@
     recordReordered: () => reorderedCalls.inc(),
     recordRejection: () => rejections.inc(),
     recordWarnings: (count) => warnings.inc(count),
+    recordExposure: (service) => exposures.inc({ service }),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     recordOverQuota: (organisation) => quotas.recordRefusal(organisation),
     render: () => registry.metrics(),
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -12,6 +12,7 @@
 import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
+import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -85,6 +86,8 @@
   tellQuota(frame: Buffer): void;
   /** Tells the daemon of calls that crashed upstreams. */
   tellCrashes(notices: readonly CrashNotice[]): void;
+  /** Sends a message of another part of the daemon, unless there is no link. */
+  tell(message: Message): void;
   /**
    * Gives up the idempotent calls of a silent link, and closes it once no call waits on it; called
    * every `SILENCE_CHECK_MS`.
@@ -105,6 +108,7 @@
   readonly receiveUpdate: (peer: Peer, update: VersionUpdate) => void;
   /** Handles a message of the quotas; undefined if this daemon keeps none. */
   readonly receiveQuota?: ReceiveQuota | undefined;
+  readonly rollouts?: RolloutExchange;
 }
 
 /** A call that was sent over the link and has not ended. */
@@ -251,6 +255,7 @@
     const limit = getLimit(member.id);
     if (limit !== undefined) this.link.write(toLimitMessage(limit));
     this.tellCrashes(this.options.listCrashNotices());
+    this.options.rollouts?.listMessages().forEach((message) => this.link.write(message));
   }
 
   private endLink(): void {
@@ -306,6 +311,7 @@
         break;
       case MessageKind.Report:
         this.setReport(parseReport(message));
+        if (this.report !== undefined) this.options.rollouts?.observeReport(this.report);
         break;
       case MessageKind.Hello:
         this.receiveHello(message);
@@ -325,6 +331,9 @@
       case MessageKind.Crashes:
         this.options.receiveCrashNotices(parseCrashes(message));
         break;
+      case MessageKind.RolloutState:
+        this.options.rollouts?.receive(message, false);
+        break;
       case MessageKind.Configuration:
         this.options.receiveUpdate(this, parseUpdate(message));
         break;
@@ -439,6 +448,10 @@
     if (notices.length > 0) this.link.write(toCrashesMessage(notices));
   }
 
+  public tell(message: Message): void {
+    this.link.write(message);
+  }
+
   public close(): void {
     this.link.close();
   }
--- a/packages/relay/src/CactusdealRelayPorts.ts
+++ b/packages/relay/src/CactusdealRelayPorts.ts
@@ -1,6 +1,7 @@
 import type { Failure } from '@cactusdeal/shared';
 import type { Either } from 'purify-ts';
 import type { JsonDocument } from './CactusdealRelayDocument.js';
+import type { RolloutOrder, RolloutPhase, StorePoint } from './CactusdealRelayRolloutTypes.js';
 import type { Member, RelayConfiguration } from './CactusdealRelayTypes.js';
 
 /** Why a request to the platform failed. */
@@ -33,6 +34,8 @@
   readonly revision: number;
   /** Era in which the revision is valid; absent from a platform that names none. */
   readonly era?: number;
+  /** Orders of rollouts that were read with it; undefined if there are none or nothing has changed. */
+  readonly orders?: OrderReading | undefined;
 }
 
 /** Registered daemons. */
@@ -42,6 +45,15 @@
   readonly era: number;
 }
 
+/** Orders of rollouts in the store. */
+export interface OrderReading {
+  readonly orders: readonly RolloutOrder[];
+  /** Point of the store's history at which they were current. */
+  readonly point: StorePoint;
+  /** Whether these are all orders, not only those that have changed. */
+  readonly isComplete: boolean;
+}
+
 /** Source of accepted configurations. */
 export interface ConfigurationSource {
   /** Reads the current configuration. */
@@ -61,6 +73,35 @@
   readonly decodeDocument?: (document: JsonDocument) => Either<Failure, RelayConfiguration>;
 }
 
+/** Status of a rollout in the store. */
+export interface RolloutStatus {
+  readonly targetVersion: string;
+  readonly phase: RolloutPhase;
+}
+
+/** What the store holds of the rollout of a service. */
+export interface RolloutStatusReading {
+  /** The order at a point after that of the status; undefined if there is none. */
+  readonly order: RolloutOrder | undefined;
+  readonly point: StorePoint;
+  /** Undefined if there is none or it cannot be read. */
+  readonly status: RolloutStatus | undefined;
+  /** Revision of the status, 0 if there is none. */
+  readonly revision: number;
+}
+
+/** Statuses of rollouts in the store. */
+export interface RolloutStore {
+  /** Reads the status of the service's rollout, then its order. */
+  readStatus(service: string): Promise<Either<PlatformFault, RolloutStatusReading>>;
+  /** Writes the status if it still has this revision; fails with `NotDone` otherwise. */
+  writeStatus(
+    service: string,
+    status: RolloutStatus,
+    revision: number,
+  ): Promise<Either<PlatformFault, void>>;
+}
+
 /** Registry through which daemons discover one another. */
 export interface MemberRegistry {
   /**
--- /dev/null
+++ b/packages/relay/src/CactusdealRelayRolloutDecision.ts
@@ -0,0 +1,233 @@
+import { addCounts, type CountRow, type ResponseCounts } from './CactusdealRelayRolloutCounts.js';
+
+/** The counts of a data centre. */
+export interface DataCentreCounts {
+  readonly dataCentre: string;
+  readonly rows: readonly CountRow[];
+}
+
+/** What the counts say of the target version. */
+export type Verdict =
+  | {
+      readonly type: 'bad';
+      readonly fault: 'failures' | 'slowness';
+      /** Kind of call; `all` for all together. */
+      readonly kind: string;
+      readonly observed: number;
+      /** What the other versions' counts make expect for as many responses. */
+      readonly expected: number;
+      readonly responses: number;
+    }
+  | { readonly type: 'sound' };
+
+export const RolloutDecision = {
+  Wait: 'wait',
+  Succeed: 'succeed',
+  RollBack: 'roll-back',
+} as const;
+export type RolloutDecision = (typeof RolloutDecision)[keyof typeof RolloutDecision];
+
+/** Input to the decision on a running rollout. */
+export interface DecisionInput {
+  readonly verdict: Verdict;
+  /** Responses of the target in data centres whose counts are recent. */
+  readonly responses: number;
+  readonly durationMs: number;
+  /** Time left until the deadline, in milliseconds. */
+  readonly remainingMs: number;
+  /** Whether counts of a data centre with gates of the service are missing or old. */
+  readonly hasSilentDataCentre: boolean;
+}
+
+/** Responses of the other versions below which they say too little on their own. */
+const MIN_BASE_RESPONSES = 20;
+/** Standard deviations by which the observed number must exceed the expected one. */
+const EXCESS_DEVIATIONS = 4;
+/** Factor by which the observed number must exceed the expected one. */
+const EXCESS_FACTOR = 2;
+/** Fraction of the responses that must be slow beyond what is expected: upstreams differ in speed. */
+const MIN_SLOW_FRACTION = 0.12;
+/** A response is slow from this number of time buckets above the median on: 2.8 times as long. */
+const SLOW_BUCKETS_ABOVE_MEDIAN = 6;
+/** The same above the slowest tenth: 1.7 times as long. */
+const SLOW_BUCKETS_ABOVE_TAIL = 3;
+const TAIL_QUANTILE = 0.9;
+const ALL_KINDS = 'all';
+
+/** Responses for a success while all data centres are heard of. */
+const MIN_RESPONSES = 20;
+/** Responses for a success near the deadline. */
+const MIN_LATE_RESPONSES = 10;
+/** Time before the deadline from which a success may be declared, as a fraction, with its bounds. */
+const EARLY_FRACTION = { least: 0.25, most: 0.4, ms: 4_000 } as const;
+/** The same from which silent data centres are not waited for. */
+const LATE_FRACTION = { least: 0.1, most: 0.25, ms: 2_500 } as const;
+
+/**
+ * Compares the target with the other versions, for the same kinds of call in the same data centres.
+ *
+ * Load pattern: a target that gets a few percent of the calls and fails, or is several times slower, in
+ * part of them: on one route, or from some moment on. Fluctuations of load and single slow or failing
+ * upstreams affect the other versions in the same data centre as well, and are expected from the target.
+ */
+export function compareVersions(dataCentres: readonly DataCentreCounts[]): Verdict {
+  const kinds = new Set(dataCentres.flatMap(({ rows }) => rows.map(({ kind }) => kind)));
+  let allObserved = 0;
+  let allExpected = 0;
+  let allResponses = 0;
+  for (const kind of kinds) {
+    const pairs = listPairs(dataCentres, kind);
+    const failures = compareFailures(pairs);
+    allObserved += failures.observed;
+    allExpected += failures.expected;
+    allResponses += failures.responses;
+    if (isExcess(failures)) return { type: 'bad', fault: 'failures', kind, ...failures };
+    const slowness = compareTimes(pairs);
+    const slowFraction = (slowness.observed - slowness.expected) / Math.max(1, slowness.responses);
+    if (isExcess(slowness) && slowFraction > MIN_SLOW_FRACTION)
+      return { type: 'bad', fault: 'slowness', kind, ...slowness };
+  }
+  const all = { observed: allObserved, expected: allExpected, responses: allResponses };
+  if (isExcess(all)) return { type: 'bad', fault: 'failures', kind: ALL_KINDS, ...all };
+  return { type: 'sound' };
+}
+
+/** Decides on a running rollout; near the deadline the decision falls whatever is missing. */
+export function computeDecision(input: DecisionInput): RolloutDecision {
+  const { verdict, responses, durationMs, remainingMs, hasSilentDataCentre } = input;
+  if (verdict.type === 'bad') return RolloutDecision.RollBack;
+  const earlyMs = computeMarginMs(durationMs, EARLY_FRACTION);
+  const lateMs = computeMarginMs(durationMs, LATE_FRACTION);
+  if (remainingMs > earlyMs) return RolloutDecision.Wait;
+  if (responses >= MIN_RESPONSES && !hasSilentDataCentre) return RolloutDecision.Succeed;
+  if (remainingMs > lateMs) return RolloutDecision.Wait;
+  if (responses >= MIN_LATE_RESPONSES) return RolloutDecision.Succeed;
+  // A data centre that has counts decides before one that has none.
+  return remainingMs > lateMs / 2 ? RolloutDecision.Wait : RolloutDecision.RollBack;
+}
+
+function computeMarginMs(
+  durationMs: number,
+  { least, most, ms }: { readonly least: number; readonly most: number; readonly ms: number },
+): number {
+  return Math.max(durationMs * least, Math.min(durationMs * most, ms));
+}
+
+/** Counts responses of the target, in all data centres together. */
+export function countTargetResponses(dataCentres: readonly DataCentreCounts[]): number {
+  return dataCentres
+    .flatMap(({ rows }) => rows)
+    .filter(({ isTarget }) => isTarget)
+    .reduce((sum, { counts }) => sum + counts.responses, 0);
+}
+
+/** The target's counts of a kind in one data centre, and those of the other versions. */
+interface Pair {
+  readonly target: ResponseCounts;
+  /** Of the same data centre, or of all where that has too few. */
+  readonly base: ResponseCounts;
+  /** The same for service times. */
+  readonly timesBase: ResponseCounts;
+}
+
+interface Comparison {
+  readonly observed: number;
+  readonly expected: number;
+  readonly responses: number;
+}
+
+const NO_COUNTS: ResponseCounts = { responses: 0, failures: 0, times: [], cutTimes: [] };
+
+function listPairs(dataCentres: readonly DataCentreCounts[], kind: string): readonly Pair[] {
+  const sides = dataCentres.map(({ rows }) => ({
+    target: findCounts(rows, kind, true),
+    others: findCounts(rows, kind, false),
+  }));
+  const pooled = sides.map(({ others }) => others).reduce(addCounts, NO_COUNTS);
+  return sides.map(({ target, others }) => ({
+    target,
+    base: others.responses >= MIN_BASE_RESPONSES ? others : pooled,
+    timesBase: countTimes(others.times) >= MIN_BASE_RESPONSES ? others : pooled,
+  }));
+}
+
+function findCounts(rows: readonly CountRow[], kind: string, isTarget: boolean): ResponseCounts {
+  return rows.find((row) => row.kind === kind && row.isTarget === isTarget)?.counts ?? NO_COUNTS;
+}
+
+function compareFailures(pairs: readonly Pair[]): Comparison {
+  return addComparisons(
+    pairs.map(({ target, base }) => ({
+      observed: target.failures,
+      expected: target.responses * computeRate(base.failures, base.responses),
+      responses: target.responses,
+    })),
+  );
+}
+
+function compareTimes(pairs: readonly Pair[]): Comparison {
+  return addComparisons(
+    pairs
+      .filter(({ timesBase }) => countTimes(timesBase.times) >= MIN_BASE_RESPONSES)
+      .map(({ target, timesBase }) => {
+        const slowFrom = findSlowBucket(timesBase.times);
+        const observed = countSlow(target, slowFrom);
+        const cut = countTimes(target.cutTimes.slice(slowFrom));
+        const baseSlow = countSlow(timesBase, slowFrom);
+        const responses = countTimes(target.times) + cut;
+        return {
+          observed,
+          expected: responses * computeRate(baseSlow, countTimes(timesBase.times)),
+          responses,
+        };
+      }),
+  );
+}
+
+function addComparisons(comparisons: readonly Comparison[]): Comparison {
+  return comparisons.reduce(
+    (sum, each) => ({
+      observed: sum.observed + each.observed,
+      expected: sum.expected + each.expected,
+      responses: sum.responses + each.responses,
+    }),
+    { observed: 0, expected: 0, responses: 0 },
+  );
+}
+
+/** Estimates a rate from a sample; never 0, as a small sample may miss rare events. */
+function computeRate(events: number, total: number): number {
+  return Math.min(1, (events + 0.5) / (total + 1));
+}
+
+/** Whether chance does not explain the observed number, by the deviation of a Poisson distribution. */
+function isExcess({ observed, expected }: Comparison): boolean {
+  const limit = expected + EXCESS_DEVIATIONS * Math.sqrt(expected + 1) + 1;
+  return observed > Math.max(limit, expected * EXCESS_FACTOR);
+}
+
+function findSlowBucket(times: readonly number[]): number {
+  return Math.max(
+    findQuantile(times, 0.5) + SLOW_BUCKETS_ABOVE_MEDIAN,
+    findQuantile(times, TAIL_QUANTILE) + SLOW_BUCKETS_ABOVE_TAIL,
+  );
+}
+
+/** Index of the bucket that holds the quantile. */
+function findQuantile(times: readonly number[], quantile: number): number {
+  const rank = countTimes(times) * quantile;
+  let sum = 0;
+  return times.findIndex((count) => {
+    sum += count ?? 0;
+    return sum >= rank && sum > 0;
+  });
+}
+
+/** A call that was given up is slow once it ran for as long as a slow response. */
+function countSlow({ times, cutTimes }: ResponseCounts, slowFrom: number): number {
+  return countTimes(times.slice(slowFrom)) + countTimes(cutTimes.slice(slowFrom));
+}
+
+function countTimes(times: readonly number[]): number {
+  return times.reduce((sum, count) => sum + count, 0);
+}
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -1,11 +1,17 @@
 import type { Quarantine } from '@cactusdeal/quarantine';
 import type { Clock, DeferredTasks, Log, LogFields, Random } from '@cactusdeal/shared';
-import { type Choice, chooseGate, type GateView } from './CactusdealRelayBalancer.js';
+import {
+  type Choice,
+  type ChoiceInput,
+  chooseGate,
+  type GateView,
+} from './CactusdealRelayBalancer.js';
 import { computeCallFingerprint } from './CactusdealRelayFingerprint.js';
 import type { Gate } from './CactusdealRelayGate.js';
 import type { GateQuery, Members } from './CactusdealRelayMembers.js';
 import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import type { RetryBudget } from './CactusdealRelayRetryBudget.js';
+import type { VersionChoice } from './CactusdealRelayRolloutChoice.js';
 import { computeEstimateCapMs } from './CactusdealRelayServiceTimes.js';
 import {
   type Answer,
@@ -13,6 +19,7 @@
   type AttemptEnd,
   buildNotRun,
   type GateCall,
+  type GateReport,
   type HeaderNames,
   type Member,
   NotRunReason,
@@ -61,6 +68,8 @@
   readonly members: Members;
   readonly retryBudget: RetryBudget;
   readonly quarantine: Quarantine;
+  /** Undefined if all versions of upstreams' software may be used. */
+  readonly versions?: VersionChoice;
   readonly deferredTasks: DeferredTasks;
   readonly clock: Clock;
   readonly random: Random;
@@ -143,7 +152,9 @@
       if (choice.type !== 'gate') return this.lastEnd ?? buildNoGateEnd(choice);
       const gateView = choice.gate;
       this.tried.add(gateView.memberId);
+      this.options.versions?.recordChoice(gateView.report);
       const end = await this.attempt(gateView, nowMs);
+      this.options.versions?.recordEnd(gateView.report, end);
       if (!this.shouldContinue(gateView, end)) return this.lastEnd as RoutedEnd;
       // The caller's departure may have arrived together with this end.
       this.wantedAtMs = await deferredTasks.wait();
@@ -164,18 +175,31 @@
     const estimateCapMs = computeEstimateCapMs(targetMs);
     const refusalKey = formatRefusalKey(this.routed.call);
     const query = { service, kind, estimateCapMs, refusalKey };
-    return chooseGate({
-      listGates: (isLocal) => {
-        const own = isLocal ? this.buildOwnView(query, nowMs) : undefined;
-        const others = members.listGates(query, isLocal);
-        return own === undefined ? others : [own, ...others];
-      },
-      tried: this.tried,
-      priority,
-      targetMs,
-      nowMs,
-      random,
-    });
+    const listGates = (isLocal: boolean): readonly GateView[] => {
+      const own = isLocal ? this.buildOwnView(query, nowMs) : undefined;
+      const others = members.listGates(query, isLocal);
+      return own === undefined ? others : [own, ...others];
+    };
+    const { tried } = this;
+    const input = { listGates, tried, priority, targetMs, nowMs, random };
+    return this.chooseByVersion(input, service);
+  }
+
+  /** Chooses among the gates whose upstreams' version may get the call. */
+  private chooseByVersion(input: ChoiceInput, service: string): Choice {
+    const { versions } = this.options;
+    const listReports = (): readonly GateReport[] =>
+      [...input.listGates(true), ...input.listGates(false)].map(({ report }) => report);
+    const filters = versions?.listFilters(service, this.tried.size === 0, listReports);
+    if (filters === undefined) return chooseGate(input);
+    let choice: Choice = { type: 'none' };
+    for (const accepts of filters) {
+      const listGates = (isLocal: boolean): readonly GateView[] =>
+        input.listGates(isLocal).filter(({ report }) => accepts(report.softwareVersion));
+      choice = chooseGate({ ...input, listGates });
+      if (choice.type === 'gate') break;
+    }
+    return choice;
   }
 
   private buildOwnView(
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -141,6 +141,8 @@
    * Fraction of recent calls that the upstream failed or shed, or that did not reach it; 0 to 1.
    */
   readonly failureRate: number;
+  /** Version of the upstream's software; undefined if it does not name it. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** A daemon, as other daemons know it. */
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -36,6 +36,7 @@
 const NO_BODY = null;
 const NO_LIMIT = null;
 const NO_ORGANISATION = null;
+const NO_VERSION = null;
 
 /** Encodes a call as fields of a message, with the time to which its own times refer, by this daemon's clock. */
 export function toCallMessage(id: number, call: GateCall, sentAtMs: number): Message {
@@ -155,7 +156,8 @@
 
 export function toReportMessage(report: GateReport): Message {
   const { service, open, capacity, load, serviceMs, failureRate } = report;
-  return [MessageKind.Report, service, open, capacity, load, serviceMs, failureRate];
+  const version = report.softwareVersion ?? NO_VERSION;
+  return [MessageKind.Report, service, open, capacity, load, serviceMs, failureRate, version];
 }
 
 export function parseReport(message: Message): GateReport {
@@ -166,6 +168,7 @@
     load: message[4] as number,
     serviceMs: message[5] as number,
     failureRate: message[6] as number,
+    softwareVersion: parseText(message[7]),
   };
 }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -28,11 +28,12 @@
 } from './CactusdealRelayLinkListener.js';
 import { createMembers, type Members } from './CactusdealRelayMembers.js';
 import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
-import type { ConfigurationSource, MemberRegistry } from './CactusdealRelayPorts.js';
+import type { ConfigurationSource, MemberRegistry, RolloutStore } from './CactusdealRelayPorts.js';
 import { SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import { createQuotas, type Quotas } from './CactusdealRelayQuotas.js';
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
+import { createRollouts, type Rollouts } from './CactusdealRelayRollouts.js';
 import { createRouter } from './CactusdealRelayRouter.js';
 import { createStoreEra, EraOrigin, NO_ERA } from './CactusdealRelayStoreEra.js';
 import type {
@@ -58,6 +59,8 @@
   readonly names: HeaderNames;
   readonly source: ConfigurationSource;
   readonly registry: MemberRegistry;
+  /** Statuses of rollouts; undefined if there are none. */
+  readonly rolloutStore?: RolloutStore;
   /** Paces what other processes send, so that none of them keeps the event loop from the others. */
   readonly pacer: ChunkPacer;
   /** Counts the log lines that were dropped. */
@@ -116,6 +119,7 @@
   readonly upstreamTracker: UpstreamTracker;
   readonly quarantine: Quarantine;
   readonly quotas: Quotas;
+  readonly rollouts: Rollouts;
   readonly log: Log;
 }
 
@@ -144,6 +148,20 @@
     listCrashNotices: () => quarantine.listNotices(),
     receiveCrashNotices: (notices) => crashExchange.receive(notices),
   };
+  const rollouts = createRollouts({
+    self,
+    names,
+    clock,
+    random,
+    log,
+    store: options.rolloutStore,
+    listPeers: () => members.list(),
+    broadcast: (message) => {
+      listener?.pushMessage(message);
+      members.list().forEach((peer) => peer.tell(message));
+    },
+    recordExposure: (service) => metrics.recordExposure(service),
+  });
   const gate = createGate({
     address: options.upstreamAddress,
     service: self.service,
@@ -159,6 +177,7 @@
     quarantine,
     recordInterruption: () => metrics.recordInterruption(),
     recordCancelled: (stage) => metrics.recordCancelled(stage),
+    recordResult: (result) => rollouts.recordResult(result),
   });
   const departures = createDepartures();
   const departureExchange: DepartureExchange = {
@@ -175,6 +194,8 @@
     log,
     observe: (upstream) => {
       gate.setUpstream(upstream);
+      rollouts.setUpstream(upstream);
+      rollouts.observeReport(gate.getReport());
       if (upstream === undefined || upstream.state === 'ready') return;
       if (departures.record(self.id, upstream)) listener?.pushDeparture();
     },
@@ -199,6 +220,9 @@
       listener?.pushStatus(isRead ? StatusAudience.All : StatusAudience.DataCentre);
     },
     recordRejection: () => metrics.recordRejection(),
+    receiveReading: ({ orders }) => {
+      if (orders !== undefined) rollouts.receiveReading(orders);
+    },
     observePlatform: () => listener?.pushStatus(StatusAudience.DataCentre),
   });
   const getStatus = (): ReturnType<Configurations['getStatus']> => configurations.getStatus();
@@ -227,6 +251,7 @@
       quotas.observeLink();
     },
     receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
+    rollouts,
     checkPause: () => pauseWatch.check(),
     receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
     hasQuotas: () => quotas.hasRules(),
@@ -243,6 +268,7 @@
     members,
     retryBudget,
     quarantine,
+    versions: rollouts.versions,
     deferredTasks,
     clock,
     random,
@@ -258,6 +284,7 @@
     getPlatformAgeMs: () => getStatus().platformAgeMs,
     getStoreEra: () => storeEra.get(),
     countQuarantined: () => quarantine.list().length,
+    listRollouts: () => rollouts.list(),
     countLinks: () => members.countConnected(),
     countLostLines: options.countLostLines,
     getQuotaStatus: () => quotas.getStatus(),
@@ -271,6 +298,7 @@
     buildUpdate: (version) => configurations.buildUpdate(version),
     receiveMember: (member) => members.add(member),
     receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
+    rollouts,
     linkBytes,
     names,
     clock,
@@ -310,6 +338,7 @@
     upstreamTracker,
     quarantine,
     quotas,
+    rollouts,
     log,
   };
   return {
@@ -363,5 +392,6 @@
   gate.close();
   relayParts.quarantine.close();
   relayParts.quotas.close();
+  relayParts.rollouts.close();
   await listener.close();
 }
--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -9,7 +9,15 @@
 import { type AddressInfo, createServer as createNetServer } from 'node:net';
 import { Left, Right } from 'purify-ts';
 import { createChunkPacer, parseAddress, waitMs } from '@cactusdeal/shared';
-import type { ConfigurationSource, MemberRegistry } from '../CactusdealRelayPorts.js';
+import {
+  type ConfigurationReading,
+  type ConfigurationSource,
+  type MemberRegistry,
+  PlatformFaultKind,
+  type RolloutStatus,
+  type RolloutStore,
+} from '../CactusdealRelayPorts.js';
+import type { RolloutOrder } from '../CactusdealRelayRolloutTypes.js';
 import { NO_ERA } from '../CactusdealRelayStoreEra.js';
 import type { HeaderNames, Member, RelayConfiguration } from '../CactusdealRelayTypes.js';
 import { type Relay, type RelayOptions, startRelay } from '../CactusdealRelayWiring.js';
@@ -56,6 +64,7 @@
   readonly state?: 'ready' | 'draining';
   readonly capacity?: number;
   readonly startedAtMs?: number;
+  readonly softwareVersion?: string;
 }
 
 /** A stand-in upstream with its daemon. */
@@ -96,6 +105,10 @@
   readonly hosts: readonly TestHost[];
   /** Makes a new configuration available to all daemons. */
   publish(configuration: RelayConfiguration): void;
+  /** Orders a rollout. */
+  order(order: RolloutOrder): void;
+  /** Status of each rollout, by service. */
+  readonly statuses: ReadonlyMap<string, RolloutStatus>;
   /** Called when a daemon removes its registration. */
   observeRemoval: () => void;
   close(): Promise<void>;
@@ -113,7 +126,10 @@
 ): Promise<TestCluster> {
   const members: Member[] = [];
   const published = [configuration];
-  const source = createSource(published);
+  const orders: RolloutOrder[] = [];
+  const statuses = new Map<string, RolloutStatus>();
+  const source = createSource(published, orders);
+  const rolloutStore = createRolloutStore(orders, statuses);
   const registry = createRegistry(members, () => cluster.observeRemoval());
   const servers: Server[] = [];
   const hosts = await Promise.all(
@@ -121,7 +137,7 @@
       startHost(
         { id: `d${index}`, dataCentre: getDataCentre(index), service },
         index,
-        { source, registry, retryBudget },
+        { source, registry, rolloutStore, retryBudget },
         servers,
       ),
     ),
@@ -133,6 +149,8 @@
     hosts,
     observeRemoval: () => {},
     publish: (next) => published.push(next),
+    order: (order) => orders.push(order),
+    statuses,
     close: async () => {
       hosts.forEach((testHost) => {
         const host = testHost;
@@ -159,7 +177,7 @@
 async function startHost(
   self: Omit<Member, 'address'>,
   index: number,
-  parts: Pick<RelayOptions, 'source' | 'registry' | 'retryBudget'>,
+  parts: Pick<RelayOptions, 'source' | 'registry' | 'rolloutStore' | 'retryBudget'>,
   servers: Server[],
 ): Promise<TestHost> {
   const { id, service } = self;
@@ -248,16 +266,31 @@
   response.end(`life ${String(request_.headers[NAMES.upstreamId])}`);
 }
 
-function createSource(published: readonly RelayConfiguration[]): ConfigurationSource {
+/** Part of a revision that counts orders; the rest counts configurations. */
+const ORDER_REVISIONS = 1_000;
+
+function createSource(
+  published: readonly RelayConfiguration[],
+  orders: readonly RolloutOrder[],
+): ConfigurationSource {
   const list = (after: number): string[] =>
     published.slice(after).map((_, index) => String(after + index));
+  const getRevision = (): number => published.length + orders.length * ORDER_REVISIONS;
+  const readAfter = (before: number): ConfigurationReading => {
+    const revision = getRevision();
+    const changed = orders.slice(Math.floor(before / ORDER_REVISIONS));
+    const reading = { sources: list(before % ORDER_REVISIONS), revision };
+    if (changed.length === 0) return reading;
+    const point = { era: 0, revision };
+    return { ...reading, orders: { orders: changed, point, isComplete: before === 0 } };
+  };
   return {
-    read: () => Promise.resolve(Right({ sources: list(0), revision: published.length })),
+    read: () => Promise.resolve(Right(readAfter(0))),
     watch: async (revision, limitMs, signal) => {
       const endMs = performance.now() + limitMs;
-      const isWaiting = (): boolean => published.length <= revision && !signal.aborted;
+      const isWaiting = (): boolean => getRevision() <= revision && !signal.aborted;
       while (isWaiting() && performance.now() < endMs) await waitMs(POLL_MS);
-      return Right({ sources: list(revision), revision: published.length });
+      return Right(readAfter(revision));
     },
     decode: (text) => {
       const found = published[Number(text)];
@@ -268,6 +301,31 @@
   };
 }
 
+function createRolloutStore(
+  orders: readonly RolloutOrder[],
+  statuses: Map<string, RolloutStatus>,
+): RolloutStore {
+  const revisions = new Map<string, number>();
+  return {
+    readStatus: (service) =>
+      Promise.resolve(
+        Right({
+          order: orders.findLast((order) => order.service === service),
+          point: { era: 0, revision: orders.length * ORDER_REVISIONS },
+          status: statuses.get(service),
+          revision: revisions.get(service) ?? 0,
+        }),
+      ),
+    writeStatus: (service, status, revision) => {
+      if (revision !== (revisions.get(service) ?? 0))
+        return Promise.resolve(Left({ kind: PlatformFaultKind.NotDone, message: 'status 412' }));
+      revisions.set(service, revision + 1);
+      statuses.set(service, status);
+      return Promise.resolve(Right(undefined));
+    },
+  };
+}
+
 function createRegistry(members: Member[], observeRemoval: () => void): MemberRegistry {
   return {
     register: (member) => {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -6,9 +6,14 @@
   type ConfigurationSource,
   type MemberListing,
   type MemberRegistry,
+  type OrderReading,
   type PlatformFault,
   PlatformFaultKind,
+  type RolloutStatus,
+  type RolloutStatusReading,
+  type RolloutStore,
 } from './CactusdealRelayPorts.js';
+export { type RolloutOrder, RolloutPhase, type StorePoint } from './CactusdealRelayRolloutTypes.js';
 export {
   type CallerLimits,
   type HeaderNames,
