--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -114,6 +114,11 @@
 } as const;
 type ReaderRole = (typeof ReaderRole)[keyof typeof ReaderRole];
 
+/** Whether a daemon with this status reads the platform. */
+export function isFreshReader({ platformAgeMs }: Status): boolean {
+  return platformAgeMs >= 0 && platformAgeMs < STALE_READER_MS;
+}
+
 export function createConfigurations(options: ConfigurationsOptions): Configurations {
   return new ConfigurationFollower(options);
 }
--- a/packages/relay/src/CactusdealRelayRolloutCoordinator.ts
+++ b/packages/relay/src/CactusdealRelayRolloutCoordinator.ts
@@ -39,8 +39,6 @@
 
 /** Daemons of the own data centre that get a gate's counts: the coordinator and the one after it. */
 const COUNTS_RECEIVERS = 2;
-/** Daemons of each other data centre that get the sum and pass it on to their coordinator. */
-const SUM_RECEIVERS = 2;
 /** Interval between messages of a gate of the target, and of a coordinator. */
 const SEND_MS = 500;
 /** The same for the gates of other versions, which are many and whose rates are known well. */
@@ -64,6 +62,7 @@
   readonly sums: Map<string, ReceivedRows>;
   sentAtMs: number;
   sumSentAtMs: number;
+  sumsSent: number;
 }
 
 export function createRolloutCoordinator(options: RolloutCoordinatorOptions): RolloutCoordinator {
@@ -85,7 +84,7 @@
   function getCollected(service: string, targetVersion: string): Collected {
     let collected = collectedByService.get(service);
     if (collected?.targetVersion !== targetVersion) {
-      const times = { sentAtMs: -Infinity, sumSentAtMs: -Infinity };
+      const times = { sentAtMs: -Infinity, sumSentAtMs: -Infinity, sumsSent: 0 };
       collected = { targetVersion, gates: new Map(), sums: new Map(), ...times };
       collectedByService.set(service, collected);
     }
@@ -128,17 +127,19 @@
     const rows = mergeGates(collected);
     const sum = { service, targetVersion, memberId: undefined, dataCentre, rows };
     const message = toCountsMessage(sum);
-    listRemoteReceivers().forEach((peer) => peer.tell(message));
+    listRemoteReceivers(collected.sumsSent).forEach((peer) => peer.tell(message));
+    collected.sumsSent += 1;
   }
 
-  function listRemoteReceivers(): readonly Peer[] {
+  /** One daemon of each other data centre, in turns; it passes the sum on to its coordinator. */
+  function listRemoteReceivers(turn: number): readonly Peer[] {
     const byDataCentre = new Map<string, Peer[]>();
     listPeers().forEach((peer) => {
       const { dataCentre } = peer.member;
       if (dataCentre === self.dataCentre || !peer.isConnected()) return;
       byDataCentre.set(dataCentre, [...(byDataCentre.get(dataCentre) ?? []), peer]);
     });
-    return [...byDataCentre.values()].flatMap((peers) => peers.slice(0, SUM_RECEIVERS));
+    return [...byDataCentre.values()].map((peers) => peers[turn % peers.length] as Peer);
   }
 
   function mergeGates({ gates }: Collected): readonly CountRow[] {
--- a/packages/relay/src/CactusdealRelayRolloutCounts.ts
+++ b/packages/relay/src/CactusdealRelayRolloutCounts.ts
@@ -17,6 +17,8 @@
 export interface CountRow {
   readonly kind: string;
   readonly isTarget: boolean;
+  /** Group of the gate; rows of other versions have group 0. */
+  readonly group: number;
   readonly counts: ResponseCounts;
 }
 
@@ -41,15 +43,18 @@
 }
 
 export interface RolloutCountsOptions {
+  /** Id of the gate's daemon. */
+  readonly memberId: string;
   readonly names: HeaderNames;
   readonly clock: Clock;
   /** Target of the running rollout; undefined if none runs. */
   readonly getTarget: (service: string) => string | undefined;
 }
 
-/** Kinds of call that are told apart at one gate; further ones are counted together. */
-const MAX_KINDS = 16;
-const OTHER_KIND = 'other';
+/** Routes of one kind are told apart by a hash of the first segment of the path, into this many. */
+const PATHS_PER_KIND = 8;
+/** Groups of the target's gates, so that a fault of one gate is told from one of the version. */
+const GATE_GROUPS = 4;
 /** An upstream that has just started is slow; its service times do not count. */
 const WARM_UP_MS = 3_000;
 /** Connections that break together are one failure: an upstream that ends breaks all of its calls. */
@@ -70,14 +75,12 @@
   readonly cutTimes: number[];
 }
 
-interface MutableRow {
-  readonly kind: string;
-  readonly isTarget: boolean;
+interface MutableRow extends CountRow {
   readonly counts: MutableCounts;
 }
 
 export function createRolloutCounts(options: RolloutCountsOptions): RolloutCounts {
-  const { names, clock, getTarget } = options;
+  const { memberId, names, clock, getTarget } = options;
   const rows = new Map<string, MutableRow>();
   let countedTarget: string | undefined;
   let instance: string | undefined;
@@ -111,16 +114,12 @@
   }
 
   function findRow(call: GateCall, isTarget: boolean): MutableRow {
-    const side = isTarget ? 'target' : 'others';
-    const kind = formatCountedKind(call);
-    const counted = rows.has(`${side} ${kind}`) || rows.size < 2 * MAX_KINDS ? kind : OTHER_KIND;
-    const key = `${side} ${counted}`;
-    let row = rows.get(key);
-    if (row === undefined) {
-      const counts = { responses: 0, failures: 0, times: [], cutTimes: [] };
-      row = { kind: counted, isTarget, counts };
-      rows.set(key, row);
-    }
+    const group = isTarget ? computeHash(memberId) % GATE_GROUPS : 0;
+    const counts = { responses: 0, failures: 0, times: [], cutTimes: [] };
+    const created = { kind: formatCountedKind(call), isTarget, group, counts };
+    const key = formatRowKey(created);
+    const row = rows.get(key) ?? created;
+    rows.set(key, row);
     return row;
   }
 
@@ -162,17 +161,32 @@
   if (isFailure) counts.failures += 1;
 }
 
-/** Routes of one kind are told apart by the first segment of the path, as far as there is room. */
+/** All gates divide the kinds in the same way, so that counts of two versions cover the same routes. */
 function formatCountedKind({ kind, path }: GateCall): string {
   const end = path.indexOf('/', 1);
-  return end === -1 ? kind : `${kind} ${path.slice(0, end)}`;
+  const segment = end === -1 ? '' : path.slice(0, end);
+  return `${kind}#${computeHash(segment) % PATHS_PER_KIND}`;
+}
+
+const HASH_FACTOR = 31;
+const HASH_MODULUS = 65_521;
+
+function computeHash(text: string): number {
+  let hash = 0;
+  for (let index = 0; index < text.length; index += 1)
+    hash = (hash * HASH_FACTOR + text.charCodeAt(index)) % HASH_MODULUS;
+  return hash;
+}
+
+function formatRowKey({ kind, isTarget, group }: CountRow): string {
+  return `${isTarget ? group : 'others'} ${kind}`;
 }
 
-/** Adds up rows of the same kind and side. */
+/** Adds up rows of the same kind, side and group. */
 export function mergeRows(rows: readonly CountRow[]): readonly CountRow[] {
   const sums = new Map<string, CountRow>();
   rows.forEach((row) => {
-    const key = `${row.isTarget ? 'target' : 'others'} ${row.kind}`;
+    const key = formatRowKey(row);
     const known = sums.get(key);
     sums.set(
       key,
--- a/packages/relay/src/CactusdealRelayRolloutDecision.ts
+++ b/packages/relay/src/CactusdealRelayRolloutDecision.ts
@@ -39,14 +39,23 @@
   readonly hasSilentDataCentre: boolean;
 }
 
+/** Bad responses from which it no longer matters whether one host may be at fault. */
+const MAX_BAD_RESPONSES = 40;
 /** Responses of the other versions below which they say too little on their own. */
 const MIN_BASE_RESPONSES = 20;
-/** Standard deviations by which the observed number must exceed the expected one. */
-const EXCESS_DEVIATIONS = 4;
+/** How much must speak against the target. */
+interface Strictness {
+  /** Standard deviations by which the observed number must exceed the expected one. */
+  readonly deviations: number;
+  /** Fraction of the responses that must be slow beyond what is expected: upstreams differ in speed. */
+  readonly slowFraction: number;
+}
+
+const ALL_GATES: Strictness = { deviations: 4, slowFraction: 0.12 };
+/** The same without any one group of gates, whose hosts alone may be at fault. */
+const REMAINING_GATES: Strictness = { deviations: 1.5, slowFraction: 0.06 };
 /** Factor by which the observed number must exceed the expected one. */
 const EXCESS_FACTOR = 2;
-/** Fraction of the responses that must be slow beyond what is expected: upstreams differ in speed. */
-const MIN_SLOW_FRACTION = 0.12;
 /** A response is slow from this number of time buckets above the median on: 2.8 times as long. */
 const SLOW_BUCKETS_ABOVE_MEDIAN = 6;
 /** The same above the slowest tenth: 1.7 times as long. */
@@ -69,8 +78,38 @@
  * Load pattern: a target that gets a few percent of the calls and fails, or is several times slower, in
  * part of them: on one route, or from some moment on. Fluctuations of load and single slow or failing
  * upstreams affect the other versions in the same data centre as well, and are expected from the target.
+ * A host of the target that fails or stalls is no fault of the version: it must also look bad without any
+ * one group of its gates.
  */
 export function compareVersions(dataCentres: readonly DataCentreCounts[]): Verdict {
+  const verdict = compareCounts(dataCentres, ALL_GATES);
+  if (verdict.type !== 'bad' || verdict.observed >= MAX_BAD_RESPONSES) return verdict;
+  const reductions = listReductions(dataCentres);
+  const isEverywhere = reductions.every(
+    (reduced) => compareCounts(reduced, REMAINING_GATES).type === 'bad',
+  );
+  return isEverywhere ? verdict : { type: 'sound' };
+}
+
+/** The counts without each group of the target's gates in turn; empty if there is only one group. */
+function listReductions(
+  dataCentres: readonly DataCentreCounts[],
+): readonly (readonly DataCentreCounts[])[] {
+  const units = dataCentres.flatMap(({ dataCentre, rows }) => {
+    const groups = new Set(rows.filter(({ isTarget }) => isTarget).map(({ group }) => group));
+    return [...groups].map((group) => ({ dataCentre, group }));
+  });
+  if (units.length < 2) return [];
+  return units.map((unit) =>
+    dataCentres.map(({ dataCentre, rows }) => {
+      const isLeftOut = ({ isTarget, group }: CountRow): boolean =>
+        isTarget && dataCentre === unit.dataCentre && group === unit.group;
+      return { dataCentre, rows: rows.filter((row) => !isLeftOut(row)) };
+    }),
+  );
+}
+
+function compareCounts(dataCentres: readonly DataCentreCounts[], strictness: Strictness): Verdict {
   const kinds = new Set(dataCentres.flatMap(({ rows }) => rows.map(({ kind }) => kind)));
   let allObserved = 0;
   let allExpected = 0;
@@ -81,14 +120,15 @@
     allObserved += failures.observed;
     allExpected += failures.expected;
     allResponses += failures.responses;
-    if (isExcess(failures)) return { type: 'bad', fault: 'failures', kind, ...failures };
+    if (isExcess(failures, strictness))
+      return { type: 'bad', fault: 'failures', kind, ...failures };
     const slowness = compareTimes(pairs);
     const slowFraction = (slowness.observed - slowness.expected) / Math.max(1, slowness.responses);
-    if (isExcess(slowness) && slowFraction > MIN_SLOW_FRACTION)
+    if (isExcess(slowness, strictness) && slowFraction > strictness.slowFraction)
       return { type: 'bad', fault: 'slowness', kind, ...slowness };
   }
   const all = { observed: allObserved, expected: allExpected, responses: allResponses };
-  if (isExcess(all)) return { type: 'bad', fault: 'failures', kind: ALL_KINDS, ...all };
+  if (isExcess(all, strictness)) return { type: 'bad', fault: 'failures', kind: ALL_KINDS, ...all };
   return { type: 'sound' };
 }
 
@@ -151,8 +191,12 @@
   }));
 }
 
+/** The counts of a kind at the target or the other versions, over all groups of gates. */
 function findCounts(rows: readonly CountRow[], kind: string, isTarget: boolean): ResponseCounts {
-  return rows.find((row) => row.kind === kind && row.isTarget === isTarget)?.counts ?? NO_COUNTS;
+  return rows
+    .filter((row) => row.kind === kind && row.isTarget === isTarget)
+    .map(({ counts }) => counts)
+    .reduce(addCounts, NO_COUNTS);
 }
 
 function compareFailures(pairs: readonly Pair[]): Comparison {
@@ -201,8 +245,8 @@
 }
 
 /** Whether chance does not explain the observed number, by the deviation of a Poisson distribution. */
-function isExcess({ observed, expected }: Comparison): boolean {
-  const limit = expected + EXCESS_DEVIATIONS * Math.sqrt(expected + 1) + 1;
+function isExcess({ observed, expected }: Comparison, { deviations }: Strictness): boolean {
+  const limit = expected + deviations * Math.sqrt(expected + 1) + 1;
   return observed > Math.max(limit, expected * EXCESS_FACTOR);
 }
 
--- a/packages/relay/src/CactusdealRelayRolloutRecords.ts
+++ b/packages/relay/src/CactusdealRelayRolloutRecords.ts
@@ -1,7 +1,7 @@
 import type { Clock, Log } from '@cactusdeal/shared';
 import {
   isFinal,
-  isLaterPoint,
+  comparePoints,
   type Rollout,
   type RolloutOrder,
   RolloutPhase,
@@ -99,7 +99,7 @@
     const known = before.find(({ order }) => order.targetVersion === targetVersion);
     const others = before.filter((each) => each !== known);
     const next = [...others, rollout]
-      .sort((left, right) => (isLaterPoint(left.currentAt, right.currentAt) ? 1 : -1))
+      .sort((left, right) => comparePoints(left.currentAt, right.currentAt))
       .slice(-MAX_ORDERS_PER_SERVICE);
     rolloutsByService.set(service, next);
     rulesByService.set(service, buildRule(next));
@@ -120,7 +120,7 @@
 
 /** Merges what two daemons know of one order. */
 export function mergeRollouts(known: Rollout, news: Rollout): Rollout {
-  const isLater = isLaterPoint(news.currentAt, known.currentAt);
+  const isLater = comparePoints(news.currentAt, known.currentAt) > 0;
   const [latest, earlier] = isLater ? [news, known] : [known, news];
   const decided = computeCertainty(news) > computeCertainty(known) ? news : known;
   const { phase, isStored } = decided;
--- a/packages/relay/src/CactusdealRelayRolloutStatusWriter.ts
+++ b/packages/relay/src/CactusdealRelayRolloutStatusWriter.ts
@@ -1,13 +1,10 @@
 import type { Clock, Log } from '@cactusdeal/shared';
-import type { Peer } from './CactusdealRelayPeer.js';
 import type { RolloutStatusReading, RolloutStore } from './CactusdealRelayPorts.js';
-import { isLeader } from './CactusdealRelayRolloutLeaders.js';
 import type { RolloutRecords } from './CactusdealRelayRolloutRecords.js';
 import { isFinal, type RolloutOrder, RolloutPhase } from './CactusdealRelayRolloutTypes.js';
-import type { Member } from './CactusdealRelayTypes.js';
 
 /**
- * Brings the status of each rollout into the store. All writers of all data centres may write: each reads
+ * Brings the status of each rollout into the store. The readers of all data centres may write: each reads
  * first and writes by compare-and-swap, so that one decision counts.
  */
 export interface RolloutStatusWriter {
@@ -16,28 +13,26 @@
   hasRequest(service: string): boolean;
   /** Has `succeeded` written; it takes effect once the store holds it. */
   requestSuccess(order: RolloutOrder): void;
-  /** Writes what is missing, if this daemon is a writer; called repeatedly. */
+  /** Writes what is missing, if this daemon is a reader; called repeatedly. */
   check(order: RolloutOrder): void;
 }
 
 export interface RolloutStatusWriterOptions {
-  readonly self: Member;
   readonly store: RolloutStore | undefined;
   readonly records: RolloutRecords;
-  readonly listPeers: () => readonly Peer[];
+  /** Whether this daemon reads the store for its data centre, and thus reaches it. */
+  readonly isReader: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
 }
 
-/** Daemons of each data centre that write: a second one, as the first may not reach the store. */
-const WRITERS_PER_DATA_CENTRE = 2;
 /** Least time between attempts for one service. */
 const RETRY_MS = 750;
 
 export function createRolloutStatusWriter(
   options: RolloutStatusWriterOptions,
 ): RolloutStatusWriter {
-  const { self, store, records, listPeers, clock, log } = options;
+  const { store, records, isReader, clock, log } = options;
   const requestedChecks = new Set<string>();
   /** By service, the version whose success is to be written. */
   const successes = new Map<string, string>();
@@ -55,10 +50,7 @@
 
   function check(order: RolloutOrder): void {
     const { service } = order;
-    if (store === undefined || !isLeader(self, listPeers(), WRITERS_PER_DATA_CENTRE)) {
-      requestedChecks.delete(service);
-      return;
-    }
+    if (store === undefined || !isReader()) return;
     const isComplete = records.getCurrent(service)?.isStored === true && !hasPendingSuccess(order);
     if (isComplete && !requestedChecks.has(service)) return;
     if (clock() - (attemptedAtMs.get(service) ?? -Infinity) < RETRY_MS) return;
--- a/packages/relay/src/CactusdealRelayRolloutTypes.ts
+++ b/packages/relay/src/CactusdealRelayRolloutTypes.ts
@@ -54,7 +54,7 @@
   return phase === RolloutPhase.Succeeded || phase === RolloutPhase.RolledBack;
 }
 
-/** Whether `left` is later in the store's history than `right`. */
-export function isLaterPoint(left: StorePoint, right: StorePoint): boolean {
-  return left.era === right.era ? left.revision > right.revision : left.era > right.era;
+/** Positive if `left` is later in the store's history than `right`, 0 if they are the same. */
+export function comparePoints(left: StorePoint, right: StorePoint): number {
+  return left.era === right.era ? left.revision - right.revision : left.era - right.era;
 }
--- a/packages/relay/src/CactusdealRelayRolloutWire.ts
+++ b/packages/relay/src/CactusdealRelayRolloutWire.ts
@@ -54,9 +54,10 @@
 /** Encodes counts; times as pairs of bucket and number, as most buckets are empty. */
 export function toCountsMessage(news: CountsNews): Message {
   const { service, targetVersion, memberId, dataCentre, rows } = news;
-  const fields = rows.map(({ kind, isTarget, counts }) => [
+  const fields = rows.map(({ kind, isTarget, group, counts }) => [
     kind,
     isTarget,
+    group,
     counts.responses,
     counts.failures,
     toPairs(counts.times),
@@ -82,11 +83,12 @@
     rows: rows.map((fields) => ({
       kind: fields[0] as string,
       isTarget: fields[1] as boolean,
+      group: fields[2] as number,
       counts: {
-        responses: fields[2] as number,
-        failures: fields[3] as number,
-        times: parsePairs(fields[4] as readonly number[]),
-        cutTimes: parsePairs(fields[5] as readonly number[]),
+        responses: fields[3] as number,
+        failures: fields[4] as number,
+        times: parsePairs(fields[5] as readonly number[]),
+        cutTimes: parsePairs(fields[6] as readonly number[]),
       },
     })),
   };
--- a/packages/relay/src/CactusdealRelayRollouts.ts
+++ b/packages/relay/src/CactusdealRelayRollouts.ts
@@ -40,6 +40,8 @@
   readonly log: Log;
   /** Undefined if there is no store for the statuses of rollouts. */
   readonly store: RolloutStore | undefined;
+  /** Whether this daemon reads the store for its data centre. */
+  readonly isReader: () => boolean;
   readonly listPeers: () => readonly Peer[];
   /** Sends a message over all links. */
   readonly broadcast: (message: Message) => void;
@@ -53,7 +55,7 @@
 export function createRollouts(options: RolloutsOptions): Rollouts {
   const { clock, log, broadcast } = options;
   const records = createRolloutRecords({ clock, log, observe });
-  const counts = createRolloutCounts({ ...options, getTarget });
+  const counts = createRolloutCounts({ ...options, memberId: options.self.id, getTarget });
   const versions = createVersionChoice({ ...options, getRule: records.getRule });
   const writer = createRolloutStatusWriter({ ...options, records });
   const coordinator = createRolloutCoordinator({ ...options, records, counts, writer });
@@ -83,7 +85,8 @@
   function receiveReading({ orders, point, isComplete }: OrderReading): void {
     orders.forEach((order) => {
       records.receiveOrder(order, point, !isComplete);
-      if (isComplete) writer.requestCheck(order.service);
+      // The store may have come back from an old copy, without the status that it held.
+      writer.requestCheck(order.service);
     });
     if (orders.length > 0) timer ??= setInterval(check, CHECK_MS);
   }
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -13,6 +13,7 @@
 import { createDepartures } from './CactusdealRelayDepartures.js';
 import {
   createConfigurations,
+  isFreshReader,
   type Configurations,
   VersionOrigin,
 } from './CactusdealRelayConfigurations.js';
@@ -155,6 +156,7 @@
     random,
     log,
     store: options.rolloutStore,
+    isReader: () => isFreshReader(configurations.getStatus()),
     listPeers: () => members.list(),
     broadcast: (message) => {
       listener?.pushMessage(message);
