Let links to replaced versions of an upstream not count in the link plan

Cause: links that are usable are kept, so that an entry with links to gates of the old version only would find no gate when those stop after a rollout.

Change: once a rollout has succeeded, a link to a gate of another version does not count any more, and another gate takes its place.

Result: the link plan's cases pass with one more.

--- a/packages/relay/src/CactusdealRelayLinkPlan.ts
+++ b/packages/relay/src/CactusdealRelayLinkPlan.ts
@@ -14,6 +14,8 @@
   Usable: 'usable',
   /** Connecting has failed for some time. */
   Failing: 'failing',
+  /** The link is open, but the gate's version has been replaced, so that it gets no calls. */
+  Replaced: 'replaced',
 } as const;
 export type LinkState = (typeof LinkState)[keyof typeof LinkState];
 
@@ -33,8 +35,8 @@
  * connections in proportion to its size. A call needs a choice among a few gates of each service in
  * each data centre, so the number of links depends on services and data centres only. Each daemon
  * ranks the others by a hash of both ids, which spreads the links of all daemons over all gates.
- * Usable links are kept, so that a newcomer moves no link; a failing one is kept as well but does not
- * count, so that another gate takes its place. While organisations have quotas (`hasQuotas`), the lowest ids
+ * Usable links are kept, so that a newcomer moves no link; a failing or replaced one is kept as well but
+ * does not count, so that another gate takes its place. While organisations have quotas (`hasQuotas`), the lowest ids
  * of each data centre keep links to those of the others in addition.
  */
 export function chooseLinks(
@@ -105,8 +107,8 @@
   const usable = listByHash(self.id, listIds(LinkState.Usable)).slice(0, limit);
   const missing = limit - usable.length;
   const added = missing > 0 ? listByHash(self.id, listIds(LinkState.None)).slice(0, missing) : [];
-  const failing = listIds(LinkState.Failing).slice(0, limit);
-  return [...usable, ...added, ...failing];
+  const uncounted = [...listIds(LinkState.Failing), ...listIds(LinkState.Replaced)];
+  return [...usable, ...added, ...uncounted.slice(0, limit)];
 }
 
 function listByHash(selfId: string, ids: readonly string[]): string[] {
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -186,7 +186,7 @@
   function updateLinks(): void {
     const candidates = [...known.values()].map(({ member }) => ({
       member,
-      state: getLinkState(peers.get(member.id)),
+      state: getLinkState(peers.get(member.id), options.rollouts),
     }));
     const chosen = chooseLinks(options.self, candidates, options.hasQuotas?.() ?? false);
     peers.forEach((peer, id) => {
@@ -203,7 +203,10 @@
   }
 }
 
-function getLinkState(peer: Peer | undefined): LinkState {
+function getLinkState(peer: Peer | undefined, rollouts: RolloutExchange | undefined): LinkState {
   if (peer === undefined) return LinkState.None;
-  return peer.isUsable() ? LinkState.Usable : LinkState.Failing;
+  if (!peer.isUsable()) return LinkState.Failing;
+  const report = peer.getView('', 0)?.report;
+  const isReplaced = report !== undefined && rollouts?.isReplaced(report) === true;
+  return isReplaced ? LinkState.Replaced : LinkState.Usable;
 }
--- a/packages/relay/src/CactusdealRelayRollouts.ts
+++ b/packages/relay/src/CactusdealRelayRollouts.ts
@@ -18,6 +18,8 @@
   /** Handles a message about rollouts; `isLocal` if its sender is in the own data centre. */
   receive(message: Message, isLocal: boolean): void;
   observeReport(report: GateReport): void;
+  /** Whether the gate's version has been replaced by that of a rollout that succeeded. */
+  isReplaced(report: GateReport): boolean;
 }
 
 /** Rollouts of new versions of upstreams' software. Without an order it sends and reads nothing. */
@@ -68,6 +70,10 @@
     listMessages: () => records.list().map((rollout) => toRolloutMessage(rollout, clock())),
     receive,
     observeReport: (report) => versions.observeReport(report),
+    isReplaced: ({ service, softwareVersion }) => {
+      const rule = records.getRule(service);
+      return rule?.phase === RolloutPhase.Succeeded && softwareVersion !== rule.targetVersion;
+    },
     list: () => records.list(),
     close: () => clearInterval(timer),
   };
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkPlan.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkPlan.test.ts
@@ -69,6 +69,11 @@
     stateOf: ({ id }) => (chosenInSur[0] === id ? LinkState.Failing : LinkState.None),
     expected: (gates) => gates.length === 4,
   },
+  {
+    name: 'another gate beside each whose version has been replaced',
+    stateOf: ({ id }) => (chosenInSur.includes(id) ? LinkState.Replaced : LinkState.None),
+    expected: (gates) => gates.length === 5,
+  },
   {
     name: 'three of the gates of a data centre that is cut off',
     stateOf: ({ dataCentre }) => (dataCentre === 'sur' ? LinkState.Failing : LinkState.None),
