--- a/packages/relay/src/CactusdealRelayRolloutCounts.ts
+++ b/packages/relay/src/CactusdealRelayRolloutCounts.ts
@@ -58,7 +58,7 @@
 /** An upstream that has just started is slow; its service times do not count. */
 const WARM_UP_MS = 3_000;
 /** Connections that break together are one failure: an upstream that ends breaks all of its calls. */
-const BREAK_INTERVAL_MS = 250;
+const BREAK_INTERVAL_MS = 100;
 const MIN_SERVER_ERROR_STATUS = 500;
 const BUCKETS_PER_OCTAVE = 4;
 const MAX_BUCKET = 64;
--- a/packages/relay/src/CactusdealRelayRolloutDecision.ts
+++ b/packages/relay/src/CactusdealRelayRolloutDecision.ts
@@ -6,19 +6,20 @@
   readonly rows: readonly CountRow[];
 }
 
+/** What speaks against the target version. */
+interface Fault {
+  readonly type: 'bad';
+  readonly fault: 'failures' | 'slowness';
+  /** Kind of call; `all` for all together. */
+  readonly kind: string;
+  readonly observed: number;
+  /** What the other versions' counts make expect for as many responses. */
+  readonly expected: number;
+  readonly responses: number;
+}
+
 /** What the counts say of the target version. */
-export type Verdict =
-  | {
-      readonly type: 'bad';
-      readonly fault: 'failures' | 'slowness';
-      /** Kind of call; `all` for all together. */
-      readonly kind: string;
-      readonly observed: number;
-      /** What the other versions' counts make expect for as many responses. */
-      readonly expected: number;
-      readonly responses: number;
-    }
-  | { readonly type: 'sound' };
+export type Verdict = Fault | { readonly type: 'sound' };
 
 export const RolloutDecision = {
   Wait: 'wait',
@@ -39,8 +40,8 @@
   readonly hasSilentDataCentre: boolean;
 }
 
-/** Bad responses from which it no longer matters whether one host may be at fault. */
-const MAX_BAD_RESPONSES = 40;
+/** Bad responses beyond the expected ones from which it no longer matters whether one host is at fault. */
+const MAX_BAD_RESPONSES = 25;
 /** Responses of the other versions below which they say too little on their own. */
 const MIN_BASE_RESPONSES = 20;
 /** How much must speak against the target. */
@@ -82,13 +83,22 @@
  * one group of its gates.
  */
 export function compareVersions(dataCentres: readonly DataCentreCounts[]): Verdict {
-  const verdict = compareCounts(dataCentres, ALL_GATES);
-  if (verdict.type !== 'bad' || verdict.observed >= MAX_BAD_RESPONSES) return verdict;
-  const reductions = listReductions(dataCentres);
-  const isEverywhere = reductions.every(
-    (reduced) => compareCounts(reduced, REMAINING_GATES).type === 'bad',
+  const faults = listFaults(dataCentres, ALL_GATES);
+  const [fault] = faults;
+  if (fault === undefined) return { type: 'sound' };
+  const isEverywhere = listReductions(dataCentres).every(
+    (reduced) => listFaults(reduced, REMAINING_GATES).length > 0,
   );
-  return isEverywhere ? verdict : { type: 'sound' };
+  return isEverywhere || countBad(faults) >= MAX_BAD_RESPONSES ? fault : { type: 'sound' };
+}
+
+/** Bad responses beyond what is expected; the fault of all kinds together has those of each kind. */
+function countBad(faults: readonly Fault[]): number {
+  const excess = (each: Fault): number => each.observed - each.expected;
+  const kinds = faults.filter(({ kind }) => kind !== ALL_KINDS);
+  const all = faults.find(({ kind }) => kind === ALL_KINDS);
+  const byKind = kinds.map(excess).reduce((sum, count) => sum + count, 0);
+  return Math.max(byKind, all === undefined ? 0 : excess(all));
 }
 
 /** The counts without each group of the target's gates in turn; empty if there is only one group. */
@@ -109,27 +119,27 @@
   );
 }
 
-function compareCounts(dataCentres: readonly DataCentreCounts[], strictness: Strictness): Verdict {
+function listFaults(
+  dataCentres: readonly DataCentreCounts[],
+  strictness: Strictness,
+): readonly Fault[] {
   const kinds = new Set(dataCentres.flatMap(({ rows }) => rows.map(({ kind }) => kind)));
-  let allObserved = 0;
-  let allExpected = 0;
-  let allResponses = 0;
-  for (const kind of kinds) {
+  const faults: Fault[] = [];
+  const failuresByKind = [...kinds].map((kind) => {
     const pairs = listPairs(dataCentres, kind);
     const failures = compareFailures(pairs);
-    allObserved += failures.observed;
-    allExpected += failures.expected;
-    allResponses += failures.responses;
     if (isExcess(failures, strictness))
-      return { type: 'bad', fault: 'failures', kind, ...failures };
+      faults.push({ type: 'bad', fault: 'failures', kind, ...failures });
     const slowness = compareTimes(pairs);
     const slowFraction = (slowness.observed - slowness.expected) / Math.max(1, slowness.responses);
     if (isExcess(slowness, strictness) && slowFraction > strictness.slowFraction)
-      return { type: 'bad', fault: 'slowness', kind, ...slowness };
-  }
-  const all = { observed: allObserved, expected: allExpected, responses: allResponses };
-  if (isExcess(all, strictness)) return { type: 'bad', fault: 'failures', kind: ALL_KINDS, ...all };
-  return { type: 'sound' };
+      faults.push({ type: 'bad', fault: 'slowness', kind, ...slowness });
+    return failures;
+  });
+  const all = addComparisons(failuresByKind);
+  if (isExcess(all, strictness))
+    faults.push({ type: 'bad', fault: 'failures', kind: ALL_KINDS, ...all });
+  return faults;
 }
 
 /** Decides on a running rollout; near the deadline the decision falls whatever is missing. */
--- a/packages/relay/src/__tests__/unit/CactusdealRelayRolloutDecision.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRolloutDecision.test.ts
@@ -93,6 +93,19 @@
     [west(others(500), target(60, { failures: 45 }), target(20, { group: 1 }))],
     'failures',
   ],
+  [
+    'many failures of one host over several kinds',
+    [
+      west(
+        ...['k', 'l', 'm'].flatMap((kind) => [
+          others(500, { kind }),
+          target(20, { kind, failures: 10 }),
+          target(20, { kind, group: 1 }),
+        ]),
+      ),
+    ],
+    'failures',
+  ],
   [
     'failures of two hosts in two data centres',
     [
