Merge rollouts, switched on by the deployment's settings

Cause: a version that appears beside others without an order is left out for 30 s, which deployments without rollouts must not notice; and the build failed on a fresh clone, as nothing created target/. Change: the settings name the parts of the platform's rules in force, and rollouts are wired only where they are among them; reports carry warm-up and version; the build creates its folder.

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -71,6 +71,8 @@
   readonly observe: (configuration: RelayConfiguration, origin: VersionOrigin) => void;
   /** Called with each version that is rejected because it cannot be read. */
   readonly recordRejection: () => void;
+  /** Called with each reading, for what it holds besides the configuration. */
+  readonly receiveReading?: (reading: ConfigurationReading) => void;
   /** Called when reading from the platform fails and when it works again. */
   readonly observePlatform: () => void;
 }
@@ -124,6 +126,11 @@
 } as const;
 type ReaderRole = (typeof ReaderRole)[keyof typeof ReaderRole];
 
+/** Whether a daemon with this status reads the platform. */
+export function isFreshReader({ platformAgeMs }: Status): boolean {
+  return platformAgeMs >= 0 && platformAgeMs < STALE_READER_MS;
+}
+
 export function createConfigurations(options: ConfigurationsOptions): Configurations {
   return new ConfigurationFollower(options);
 }
@@ -350,6 +357,7 @@
     storeEra.record(era, EraOrigin.Platform);
     this.recordRead();
     this.applySources(sources);
+    this.options.receiveReading?.(reading);
     this.position = verdict === ReadingVerdict.Continue ? { revision, era } : undefined;
     return Right(reading);
   }
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -10,6 +10,7 @@
   LimitExchange,
   Member,
 } from './CactusdealRelayTypes.js';
+import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import type { Status } from './CactusdealRelayWire.js';
 
@@ -66,6 +67,7 @@
   readonly receiveQuota?: ReceiveQuota | undefined;
   /** Whether organisations have quotas, which takes links of its own. */
   readonly hasQuotas?: (() => boolean) | undefined;
+  readonly rollouts?: RolloutExchange;
   /** Called by the timers that check the links, with the time in milliseconds that they explain. */
   readonly checkPause: (intervalMs: number) => void;
   /** Called after a link has ended. */
@@ -208,7 +210,7 @@
   function updateLinks(): void {
     const candidates = [...known.values()].map(({ member }) => ({
       member,
-      state: getLinkState(peers.get(member.id)),
+      state: getLinkState(peers.get(member.id), options.rollouts),
     }));
     const chosen = chooseLinks(options.self, candidates, options.hasQuotas?.() ?? false);
     peers.forEach((peer, id) => {
@@ -226,7 +228,10 @@
   }
 }
 
-function getLinkState(peer: Peer | undefined): LinkState {
+function getLinkState(peer: Peer | undefined, rollouts: RolloutExchange | undefined): LinkState {
   if (peer === undefined) return LinkState.None;
-  return peer.isUsable() ? LinkState.Usable : LinkState.Failing;
+  if (!peer.isUsable()) return LinkState.Failing;
+  const report = peer.getView('', 0)?.report;
+  const isReplaced = report !== undefined && rollouts?.isReplaced(report) === true;
+  return isReplaced ? LinkState.Replaced : LinkState.Usable;
 }
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -3,6 +3,7 @@
 import type { CallRecord } from './CactusdealRelayEntry.js';
 import type { QuotaStatus } from './CactusdealRelayQuotaExchange.js';
 import { addQuotaMetrics } from './CactusdealRelayQuotaMetrics.js';
+import type { Rollout } from './CactusdealRelayRolloutTypes.js';
 import type { CallStage, GateReport } from './CactusdealRelayTypes.js';
 
 /** The relay's metrics for Prometheus. */
@@ -24,6 +25,8 @@
   recordWarnings(count: number): void;
   /** Counts a body of a caller that was refused because others had taken the memory. */
   recordEviction(): void;
+  /** Counts a call that this entry sent to the target of a running rollout. */
+  recordExposure(service: string): void;
   recordPause(pause: Pause): void;
   recordOverQuota(organisation: string): void;
   /** Renders the metrics in the text exposition format. */
@@ -45,6 +48,7 @@
   getStoreEra(): number;
   /** Counts the fingerprints whose calls are refused because they crashed upstreams. */
   countQuarantined(): number;
+  listRollouts(): readonly Rollout[];
   countLinks(): number;
   countLostLines(): number;
   /** Undefined while no organisation has a quota. */
@@ -107,6 +111,25 @@
     help: 'Bodies of callers that were refused because others had taken the memory',
     registers,
   });
+  const exposures = new Counter({
+    name: 'cactusdeal_rollout_calls_total',
+    help: 'Calls that this entry sent to the target of a running rollout, by service',
+    labelNames: ['service'],
+    registers,
+  });
+  const rollouts: Gauge = new Gauge({
+    name: 'cactusdeal_rollout',
+    help: 'Known rollouts, by service, target version, phase and whether the store holds it',
+    labelNames: ['service', 'target', 'phase', 'stored'],
+    registers,
+    collect: () => {
+      rollouts.reset();
+      sources.listRollouts().forEach(({ order, phase, isStored }) => {
+        const { service, targetVersion: target } = order;
+        rollouts.set({ service, target, phase, stored: String(isStored) }, 1);
+      });
+    },
+  });
   const pauses = new Histogram({
     name: 'cactusdeal_event_loop_pause_seconds',
     help: 'Times of 0.1 s and more in which the daemon handled nothing',
@@ -157,6 +180,7 @@
     recordRejection: () => rejections.inc(),
     recordWarnings: (count) => warnings.inc(count),
     recordEviction: () => evictions.inc(),
+    recordExposure: (service) => exposures.inc({ service }),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     recordOverQuota: (organisation) => quotas.recordRefusal(organisation),
     render: () => registry.metrics(),
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -12,6 +12,7 @@
 import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
+import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -19,6 +20,7 @@
   type CrashNoticeExchange,
   type DepartureExchange,
   type GateCall,
+  type GateReport,
   type LimitExchange,
   type Member,
   NotRunReason,
@@ -85,6 +87,8 @@
   tellQuota(frame: Buffer): void;
   /** Tells the daemon of calls that crashed upstreams. */
   tellCrashes(notices: readonly CrashNotice[]): void;
+  /** Sends a message of another part of the daemon, unless there is no link. */
+  tell(message: Message): void;
   /**
    * Gives up the idempotent calls of a silent link, and closes it once no call waits on it; called
    * every `SILENCE_CHECK_MS` while calls wait.
@@ -109,6 +113,7 @@
   readonly observeWaiting?: () => void;
   /** Called after the link has ended. */
   readonly observeEnd?: () => void;
+  readonly rollouts?: RolloutExchange;
 }
 
 /** A call that was sent over the link and has not ended. */
@@ -229,6 +234,7 @@
     const limit = getLimit(member.id);
     if (limit !== undefined) this.link.write(toLimitMessage(limit));
     this.tellCrashes(this.options.listCrashNotices());
+    this.options.rollouts?.listMessages().forEach((message) => this.link.write(message));
   }
 
   private endLink(): void {
@@ -282,7 +288,7 @@
         this.link.write(toPongMessage(this.options.clock()));
         break;
       case MessageKind.Report:
-        this.gate.receiveReport(parseReport(message));
+        this.receiveReport(parseReport(message));
         break;
       case MessageKind.Hello:
         this.receiveHello(message);
@@ -302,6 +308,9 @@
       case MessageKind.Crashes:
         this.options.receiveCrashNotices(parseCrashes(message));
         break;
+      case MessageKind.RolloutState:
+        this.options.rollouts?.receive(message, false);
+        break;
       case MessageKind.Configuration:
         this.options.receiveUpdate(this, parseUpdate(message));
         break;
@@ -309,6 +318,11 @@
     }
   }
 
+  private receiveReport(report: GateReport): void {
+    this.gate.receiveReport(report);
+    this.options.rollouts?.observeReport(report);
+  }
+
   /** A host's address may pass to another host, whose daemon must not be taken for this one. */
   private receiveHello(message: Message): void {
     const { member, status } = parseHello(message);
@@ -404,6 +418,10 @@
     if (notices.length > 0) this.link.write(toCrashesMessage(notices));
   }
 
+  public tell(message: Message): void {
+    this.link.write(message);
+  }
+
   public close(): void {
     this.link.close();
   }
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -143,6 +143,8 @@
   readonly failureRate: number;
   /** How much longer its upstream is warming up, in milliseconds; undefined if it is not. */
   readonly warmUpLeftMs?: number | undefined;
+  /** Version of the upstream's software; undefined if it does not name it. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** A daemon, as other daemons know it. */
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -36,7 +36,9 @@
 
 const NO_BODY = null;
 const NO_LIMIT = null;
+const NO_TIME = null;
 const NO_ORGANISATION = null;
+const NO_VERSION = null;
 
 /** Encodes a call as fields of a message, with the time to which its own times refer, by this daemon's clock. */
 export function toCallMessage(id: number, call: GateCall, sentAtMs: number): Message {
@@ -161,8 +163,9 @@
 
 export function toReportMessage(report: GateReport): Message {
   const { service, open, capacity, load, serviceMs, failureRate, warmUpLeftMs } = report;
-  const fields = [service, open, capacity, load, serviceMs, failureRate];
-  if (warmUpLeftMs !== undefined) fields.push(Math.round(warmUpLeftMs));
+  const warmUp = warmUpLeftMs === undefined ? NO_TIME : Math.round(warmUpLeftMs);
+  const version = report.softwareVersion ?? NO_VERSION;
+  const fields = [service, open, capacity, load, serviceMs, failureRate, warmUp, version];
   return [MessageKind.Report, ...fields];
 }
 
@@ -175,6 +178,7 @@
     serviceMs: message[5] as number,
     failureRate: message[6] as number,
     warmUpLeftMs: parseTime(message[7]),
+    softwareVersion: parseText(message[8]),
   };
 }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -13,6 +13,7 @@
 import { createDepartures } from './CactusdealRelayDepartures.js';
 import {
   createConfigurations,
+  isFreshReader,
   type Configurations,
   VersionOrigin,
 } from './CactusdealRelayConfigurations.js';
@@ -28,11 +29,12 @@
 import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 import { createMembers, type Members } from './CactusdealRelayMembers.js';
 import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
-import type { ConfigurationSource, MemberRegistry } from './CactusdealRelayPorts.js';
+import type { ConfigurationSource, MemberRegistry, RolloutStore } from './CactusdealRelayPorts.js';
 import { SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import { createQuotas, type Quotas } from './CactusdealRelayQuotas.js';
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
+import { createRollouts, type Rollouts } from './CactusdealRelayRollouts.js';
 import { createRouter } from './CactusdealRelayRouter.js';
 import { createStoreEra, EraOrigin, NO_ERA } from './CactusdealRelayStoreEra.js';
 import type {
@@ -62,6 +64,8 @@
   readonly names: HeaderNames;
   readonly source: ConfigurationSource;
   readonly registry: MemberRegistry;
+  /** Statuses of rollouts; undefined if this deployment has no rollouts: all versions are used alike then. */
+  readonly rolloutStore?: RolloutStore;
   /** Paces what other processes send, so that none of them keeps the event loop from the others. */
   readonly pacer: ChunkPacer;
   /** Counts the log lines that were dropped. */
@@ -120,6 +124,7 @@
   readonly upstreamTracker: UpstreamTracker;
   readonly quarantine: Quarantine;
   readonly quotas: Quotas;
+  readonly rollouts: Rollouts;
   readonly log: Log;
 }
 
@@ -149,6 +154,23 @@
     listCrashNotices: () => quarantine.listNotices(),
     receiveCrashNotices: (notices) => crashExchange.receive(notices),
   };
+  const rollouts = createRollouts({
+    self,
+    names,
+    clock,
+    random,
+    log,
+    store: options.rolloutStore,
+    isReader: () => isFreshReader(configurations.getStatus()),
+    listPeers: () => members.list(),
+    broadcast: (message) => {
+      listener?.pushMessage(message);
+      members.list().forEach((peer) => peer.tell(message));
+    },
+    recordExposure: (service) => metrics.recordExposure(service),
+  });
+  const hasRollouts = options.rolloutStore !== undefined;
+  const rolloutExchange = hasRollouts ? { rollouts } : {};
   const gate = createGate({
     address: options.upstreamAddress,
     service: self.service,
@@ -165,6 +187,7 @@
     quarantine,
     recordInterruption: () => metrics.recordInterruption(),
     recordCancelled: (stage) => metrics.recordCancelled(stage),
+    recordResult: (result) => rollouts.recordResult(result),
   });
   const departures = createDepartures();
   const departureExchange: DepartureExchange = {
@@ -181,6 +204,8 @@
     log,
     observe: (upstream) => {
       gate.setUpstream(upstream);
+      rollouts.setUpstream(upstream);
+      rollouts.observeReport(gate.getReport());
       if (upstream === undefined || upstream.state === 'ready') return;
       if (departures.record(self.id, upstream)) listener?.pushDeparture();
     },
@@ -205,6 +230,9 @@
       listener?.pushStatus(isRead ? StatusAudience.All : StatusAudience.DataCentre);
     },
     recordRejection: () => metrics.recordRejection(),
+    receiveReading: ({ orders }) => {
+      if (orders !== undefined) rollouts.receiveReading(orders);
+    },
     observePlatform: () => listener?.pushStatus(StatusAudience.DataCentre),
   });
   const getStatus = (): ReturnType<Configurations['getStatus']> => configurations.getStatus();
@@ -233,6 +261,7 @@
       quotas.observeLink();
     },
     receiveUpdate: (peer, update) => configurations.receiveUpdate(peer, update),
+    ...rolloutExchange,
     receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
     hasQuotas: () => quotas.hasRules(),
     checkPause: (intervalMs) => pauseWatch.check(intervalMs),
@@ -250,6 +279,7 @@
     members,
     retryBudget,
     quarantine,
+    ...(hasRollouts ? { versions: rollouts.versions } : {}),
     deferredTasks,
     clock,
     random,
@@ -265,6 +295,7 @@
     getPlatformAgeMs: () => getStatus().platformAgeMs,
     getStoreEra: () => storeEra.get(),
     countQuarantined: () => quarantine.list().length,
+    listRollouts: () => rollouts.list(),
     countLinks: () => members.countConnected(),
     countLostLines: options.countLostLines,
     getQuotaStatus: () => quotas.getStatus(),
@@ -278,6 +309,7 @@
     buildUpdate: (version) => configurations.buildUpdate(version),
     receiveMember: (member) => members.add(member),
     receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
+    ...rolloutExchange,
     linkBytes,
     names,
     clock,
@@ -319,6 +351,7 @@
     upstreamTracker,
     quarantine,
     quotas,
+    rollouts,
     log,
   };
   return {
@@ -372,5 +405,6 @@
   gate.close();
   relayParts.quarantine.close();
   relayParts.quotas.close();
+  relayParts.rollouts.close();
   await listener.close();
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,6 +2,7 @@
 import { spawnSync } from 'node:child_process';
 import {
   copyFileSync,
+  mkdirSync,
   readdirSync,
   readFileSync,
   renameSync,
@@ -83,6 +84,7 @@
   legalComments: 'none',
   logLevel: 'warning',
 });
+mkdirSync('target', { recursive: true });
 // Source and compiled code share a file, so that a daemon never combines those of two builds.
 const source = Buffer.from(outputFiles[0].text, 'latin1');
 writeFileSync(partial(PROGRAM), packProgram(Buffer.alloc(0)));
