Ignore a rollout's status from before a restore of the store

Cause: a connection from before a restore may still reach the old store, whose status would settle an order of the new era.

Change: a status that was read in an earlier era than the order is ignored and read again.

--- a/packages/relay/src/CactusdealRelayRolloutStatusWriter.ts
+++ b/packages/relay/src/CactusdealRelayRolloutStatusWriter.ts
@@ -71,6 +71,8 @@
       return;
     }
     const reading = read.unsafeCoerce();
+    // A connection from before a restore may still reach the old store.
+    if (reading.point.era < (records.getCurrent(service)?.currentAt.era ?? 0)) return;
     if (reading.order !== undefined && reading.order.targetVersion !== order.targetVersion) {
       records.receiveOrder(reading.order, reading.point, true);
       return;
