--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -111,6 +111,7 @@
 const REMOTE_REPORT_TICKS = 20;
 /** Ticks between status messages of a reader. */
 const READER_STATUS_TICKS = 2;
+
 /** Bytes of the body of each call that do not count among those that all links hold. */
 const RESERVED_BODY_BYTES = 64 * 1024;
 
