Keep the choice of readers in a module of its own

Change: finding and watching the role of a reader is a module without input and output; nothing else changes. Result: the tests of readers, configurations, the store's era, members and peers pass (34).

--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -1,11 +1,4 @@
-import {
-  type Clock,
-  type Failure,
-  type Log,
-  type Random,
-  scheduleTicks,
-  waitMs,
-} from '@cactusdeal/shared';
+import { type Clock, type Failure, type Log, type Random, waitMs } from '@cactusdeal/shared';
 import { type Either, Left, Right } from 'purify-ts';
 import type { Members } from './CactusdealRelayMembers.js';
 import type { Peer } from './CactusdealRelayPeer.js';
@@ -15,6 +8,7 @@
   type PlatformFault,
   PlatformFaultKind,
 } from './CactusdealRelayPorts.js';
+import { createReaderRoles, ReaderRole, type ReaderRoles } from './CactusdealRelayReaderRole.js';
 import { buildRouteTable, type RouteTable } from './CactusdealRelayRoutes.js';
 import {
   EraOrigin,
@@ -75,10 +69,6 @@
   readonly observePlatform: () => void;
 }
 
-/**
- * Daemons of each data centre that watch the platform; the others learn of new versions from them.
- */
-const READERS_PER_DATA_CENTRE = 2;
 /** Longest wait of one watch request; bounds the time in which a connection may go silent. */
 const WATCH_MS = 2_500;
 /**
@@ -94,13 +84,6 @@
 const COALESCE_MS = 600;
 /** The same for a standby; short enough for it to take over while versions come. */
 const STANDBY_COALESCE_MS = 1_200;
-/** Age of a reader's last successful read beyond which it no longer counts as a reader. */
-const STALE_READER_MS = 3_600;
-/**
- * Longest time for which a daemon leaves it unnoticed that it has to become a reader because what others
- * said is too old.
- */
-const ROLE_CHECK_MS = 250;
 const MIN_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 1_600;
 /** Most warnings of one version that are logged; all are counted. */
@@ -113,17 +96,6 @@
  */
 const REMOTE_REQUEST_AFTER_MS = 400;
 
-/** What a daemon has to read from the platform, by the readers of its data centre with lower ids. */
-const ReaderRole = {
-  /** Watches with short waits. */
-  Primary: 'primary',
-  /** Watches with long waits. */
-  Standby: 'standby',
-  /** Learns new versions from the readers. */
-  None: 'none',
-} as const;
-type ReaderRole = (typeof ReaderRole)[keyof typeof ReaderRole];
-
 export function createConfigurations(options: ConfigurationsOptions): Configurations {
   return new ConfigurationFollower(options);
 }
@@ -152,10 +124,10 @@
   /** Whether the last request failed or was cut. */
   private isDoubtful = false;
 
-  /** Checks the role while a change of it is waited for. */
-  private observeReaders: (() => void) | undefined;
+  private readonly roles: ReaderRoles;
 
   public constructor(private readonly options: ConfigurationsOptions) {
+    this.roles = createReaderRoles(options.self, options.clock);
     options.storeEra.subscribe(() => this.watchCut.abort());
   }
 
@@ -273,7 +245,7 @@
     const { signal } = this.stop;
     let backoffMs = MIN_BACKOFF_MS;
     while (!signal.aborted) {
-      const role = this.findRole(members);
+      const role = this.roles.find(members);
       if (role === ReaderRole.None) {
         this.position = undefined;
         await this.waitForRoleChange(role, members);
@@ -319,7 +291,7 @@
       const reading = await source.watch(revision, watchMs, cut);
       return cut.aborted ? 'cut' : reading;
     }
-    const stopWatching = this.watchRole(role, members, () => this.watchCut.abort());
+    const stopWatching = this.roles.watch(role, members, () => this.watchCut.abort());
     this.isStandby = true;
     const reading = await source.watch(revision, watchMs, cut);
     this.isStandby = false;
@@ -381,62 +353,25 @@
   }
 
   public checkRole(): void {
-    this.observeReaders?.();
+    this.roles.check();
   }
 
   private waitForRoleChange(role: ReaderRole, members: Members): Promise<void> {
+    const { signal } = this.stop;
     return new Promise((resolve) => {
-      const stopWatching = this.watchRole(role, members, () => {
+      const stopWatching = this.roles.watch(role, members, finish);
+      signal.addEventListener('abort', finish);
+
+      function finish(): void {
         stopWatching();
+        signal.removeEventListener('abort', finish);
         resolve();
-      });
-    });
-  }
-
-  /**
-   * Calls `observe` when the role is another one or this daemon stops; returns a function that ends the
-   * watch. What other daemons say and the end of their links is noticed at once.
-   */
-  private watchRole(role: ReaderRole, members: Members, observe: () => void): () => void {
-    let timer: NodeJS.Timeout | undefined;
-    const check = (): void => {
-      clearTimeout(timer);
-      if (this.stop.signal.aborted || this.findRole(members) !== role) observe();
-      else if (this.findRole(members, ROLE_CHECK_MS) !== role)
-        timer = setTimeout(check, ROLE_CHECK_MS);
-    };
-    const stopTicks = scheduleTicks(1, check);
-    this.observeReaders = check;
-    return () => {
-      stopTicks();
-      clearTimeout(timer);
-      this.observeReaders = undefined;
-    };
-  }
-
-  /** The role now, or `afterMs` later if nobody says anything until then. */
-  private findRole(members: Members, afterMs = 0): ReaderRole {
-    const lowerReaders = this.countLowerReaders(members, afterMs);
-    if (lowerReaders === 0) return ReaderRole.Primary;
-    return lowerReaders < READERS_PER_DATA_CENTRE ? ReaderRole.Standby : ReaderRole.None;
-  }
-
-  /** Counts the readers of the data centre that have a lower id than this daemon. */
-  private countLowerReaders(members: Members, afterMs: number): number {
-    const { self, clock } = this.options;
-    const nowMs = clock() + afterMs;
-    const readers = members.list().filter((peer) => {
-      if (peer.member.dataCentre !== self.dataCentre || peer.member.id > self.id) return false;
-      const status = peer.getStatus();
-      if (status === undefined || status.platformAgeMs < 0) return false;
-      return status.platformAgeMs + nowMs - status.atMs < STALE_READER_MS;
+      }
     });
-    return readers.length;
   }
 
   public close(): void {
     this.stop.abort();
     this.watchCut.abort();
-    this.checkRole();
   }
 }
