--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -13,7 +13,6 @@
 import { createDepartures } from './CactusdealRelayDepartures.js';
 import {
   createConfigurations,
-  isFreshReader,
   type Configurations,
   VersionOrigin,
 } from './CactusdealRelayConfigurations.js';
@@ -32,6 +31,7 @@
 import type { ConfigurationSource, MemberRegistry, RolloutStore } from './CactusdealRelayPorts.js';
 import { SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import { createQuotas, type Quotas } from './CactusdealRelayQuotas.js';
+import { isFreshReader } from './CactusdealRelayReaderRole.js';
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
 import { createRetryBudget, type RetryBudgetOptions } from './CactusdealRelayRetryBudget.js';
 import { createRollouts, type Rollouts } from './CactusdealRelayRollouts.js';
