Share the uplink of a host among large answers by earliest target

Cause: large answers at twice the bandwidth of a host's link shared the link, so nearly all were late, and small answers waited behind their bytes. Change: with the setting uplinkMbps one schedule over all links of a daemon writes pieces no faster than the uplink takes them, one answer after the other by earliest target. The gate refuses a call with large answers as busy if its answer would cross the uplink too late. Without the setting nothing changes.

--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -32,6 +32,7 @@
   UnknownReason,
   type Upstream,
 } from './CactusdealRelayTypes.js';
+import type { UplinkAdmission } from './CactusdealRelayUplinkAdmission.js';
 import { createUpstreamLimit, type UpstreamLimit } from './CactusdealRelayUpstreamLimit.js';
 import { hasLeavingSignal, readLimit } from './CactusdealRelayUpstreamSignals.js';
 import {
@@ -43,8 +44,8 @@
 
 /** Admission control in front of the upstream on this host; forwards the admitted calls to it. */
 export interface Gate {
-  /** Starts, queues or refuses a call. */
-  serve(call: GateCall): Attempt;
+  /** Starts, queues or refuses a call; `usesUplink` if its answer leaves the host. */
+  serve(call: GateCall, usesUplink?: boolean): Attempt;
   /** Sets the upstream's latest known state; undefined if its state is unknown. */
   setUpstream(upstream: Upstream | undefined): void;
   /** The gate's current state and load, as reported to other daemons. */
@@ -80,6 +81,10 @@
   readonly pacer: ChunkPacer;
   /** Room for unfinished answers. */
   readonly answerBytes?: ByteBudget;
+  /** Admission to the uplink of the host; undefined if its bandwidth is unknown. */
+  readonly uplink?: UplinkAdmission<TrackedCall> | undefined;
+  /** Called with each call that is refused for want of room on the uplink. */
+  readonly recordUplinkRefusal?: () => void;
   readonly log: Log;
   /** Called when the gate may have opened or closed. */
   readonly observe: () => void;
@@ -169,25 +174,32 @@
     });
   }
 
-  public serve(call: GateCall): Attempt {
+  public serve(call: GateCall, usesUplink = false): Attempt {
     const nowMs = this.options.clock();
     let settle: (end: AttemptEnd) => void = () => {};
     const end = new Promise<AttemptEnd>((resolve) => {
       settle = resolve;
     });
-    const tracked = createTrackedCall(call, this.options.names, nowMs, settle);
-    this.admit(tracked, nowMs);
+    const { uplink, names } = this.options;
+    const tracked: TrackedCall = createTrackedCall(call, names, nowMs, (attemptEnd) => {
+      const isAnswered = attemptEnd.type === 'answered';
+      uplink?.release(tracked, isAnswered ? attemptEnd.answer.body.byteLength : undefined);
+      settle(attemptEnd);
+    });
+    this.admit(tracked, nowMs, usesUplink);
     return { end, cancel: () => this.cancel(tracked) };
   }
 
-  private admit(tracked: TrackedCall, nowMs: number): void {
+  private admit(tracked: TrackedCall, nowMs: number, usesUplink: boolean): void {
     const closedReason = this.findClosedReason(tracked.call.service, nowMs);
     if (closedReason !== undefined) {
       this.refuse(tracked, closedReason);
       return;
     }
     if (this.refuseQuarantined(tracked)) return;
+    if (usesUplink && this.refuseForUplink(tracked, nowMs)) return;
     const decision = this.admission.admit(tracked, nowMs);
+    if (usesUplink && decision.type !== 'refuse') this.options.uplink?.reserve(tracked);
     if (decision.type === 'start') {
       this.start(tracked);
     } else if (decision.type === 'wait') {
@@ -198,6 +210,17 @@
     }
   }
 
+  /** Refuses a call whose answer would cross the uplink too late; false if it would not. */
+  private refuseForUplink(tracked: TrackedCall, nowMs: number): boolean {
+    const serviceMs = this.presentTimes.estimate(tracked.kind, tracked.estimateCapMs);
+    const waitMs = this.options.uplink?.computeWaitMs(tracked, serviceMs, nowMs) ?? 0;
+    if (waitMs === 0) return false;
+    this.options.recordUplinkRefusal?.();
+    this.options.log.info('uplink-full', { waitMs: Math.round(waitMs) });
+    this.refuse(tracked, NotRunReason.Busy, waitMs);
+    return true;
+  }
+
   /** Refuses a call that crashed upstreams; false if it is none. */
   private refuseQuarantined(tracked: TrackedCall): boolean {
     const { quarantine } = this.options;
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -33,6 +33,7 @@
   type Member,
   NotRunReason,
 } from './CactusdealRelayTypes.js';
+import type { Uplink } from './CactusdealRelayUplink.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
   parseCall,
@@ -88,6 +89,8 @@
   readonly recordCancelled: (stage: CallStage) => void;
   /** Handles a message of the quotas; undefined if this daemon keeps none. */
   readonly receiveQuota?: ReceiveQuota | undefined;
+  /** Orders the large answers of all links; undefined if the bandwidth is unknown. */
+  readonly uplink?: Uplink | undefined;
   readonly names: Pick<HeaderNames, 'callId'>;
   readonly clock: Clock;
   readonly log: Log;
@@ -183,7 +186,7 @@
 }
 
 function acceptLink(options: LinkListenerOptions, links: Set<AcceptedLink>, socket: Socket): void {
-  const writer = createLinkWriter(socket);
+  const writer = createLinkWriter(socket, options.uplink);
   const link: AcceptedLink = {
     socket,
     writer,
@@ -307,7 +310,7 @@
 }
 
 function serveCall(
-  { gate, linkBytes }: LinkListenerOptions,
+  { gate, linkBytes, clock }: LinkListenerOptions,
   acceptedLink: AcceptedLink,
   id: number,
   call: GateCall,
@@ -318,24 +321,31 @@
     writeEnd(link, id, buildNotRun(NotRunReason.NoMemory), gate.getReport());
     return;
   }
-  const attempt = gate.serve(call);
+  const targetAtMs = clock() + call.targetMs;
+  const attempt = gate.serve(call, true);
   link.activeCalls.set(id, attempt);
   void attempt.end.then((end) => {
     link.activeCalls.delete(id);
     linkBytes.release(heldBytes);
     const report = gate.getReport();
     link.told = report;
-    writeEnd(link, id, end, report);
+    writeEnd(link, id, end, report, targetAtMs);
   });
 }
 
-function writeEnd({ writer }: AcceptedLink, id: number, end: AttemptEnd, report: GateReport): void {
+function writeEnd(
+  { writer }: AcceptedLink,
+  id: number,
+  end: AttemptEnd,
+  report: GateReport,
+  targetAtMs?: number,
+): void {
   if (end.type !== 'answered' || end.answer.body.byteLength <= PIECE_BYTES) {
     writer.write(toEndMessage(id, end, report));
     return;
   }
   const endWithoutBody = { ...end, answer: { ...end.answer, body: NO_BODY } };
-  writer.writeLarge(id, end.answer.body, toEndMessage(id, endWithoutBody, report));
+  writer.writeLarge(id, end.answer.body, toEndMessage(id, endWithoutBody, report), targetAtMs);
 }
 
 function writeFrame({ socket }: AcceptedLink, frame: Buffer): void {
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -27,6 +27,8 @@
   recordEviction(): void;
   /** Counts a call that this entry sent to the target of a running rollout. */
   recordExposure(service: string): void;
+  /** Counts a call that was refused because its answer would cross the uplink too late. */
+  recordUplinkRefusal(): void;
   recordPause(pause: Pause): void;
   recordOverQuota(organisation: string): void;
   /** Renders the metrics in the text exposition format. */
@@ -51,6 +53,8 @@
   listRollouts(): readonly Rollout[];
   countLinks(): number;
   countLostLines(): number;
+  /** Counts the bytes of large answers that wait to be written; undefined without an uplink. */
+  countUplinkBytes?(): number | undefined;
   /** Undefined while no organisation has a quota. */
   getQuotaStatus(): QuotaStatus | undefined;
 }
@@ -130,6 +134,11 @@
       });
     },
   });
+  const uplinkRefusals = new Counter({
+    name: 'cactusdeal_uplink_refused_total',
+    help: 'Calls that were refused because their answers would have crossed the uplink too late',
+    registers,
+  });
   const pauses = new Histogram({
     name: 'cactusdeal_event_loop_pause_seconds',
     help: 'Times of 0.1 s and more in which the daemon handled nothing',
@@ -167,6 +176,11 @@
   );
   addGauge('cactusdeal_links', 'Open links to other daemons', sources.countLinks);
   addGauge('cactusdeal_log_lines_lost', 'Log lines that were dropped', sources.countLostLines);
+  addGauge(
+    'cactusdeal_uplink_waiting_bytes',
+    'Bytes of large answers that wait to be written to links; 0 if the bandwidth is unknown',
+    () => sources.countUplinkBytes?.() ?? 0,
+  );
   const quotas = addQuotaMetrics(registry, () => sources.getQuotaStatus());
   return {
     recordCall: ({ kind, outcome, durationMs }) => {
@@ -181,6 +195,7 @@
     recordWarnings: (count) => warnings.inc(count),
     recordEviction: () => evictions.inc(),
     recordExposure: (service) => exposures.inc({ service }),
+    recordUplinkRefusal: () => uplinkRefusals.inc(),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     recordOverQuota: (organisation) => quotas.recordRefusal(organisation),
     render: () => registry.metrics(),
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -44,6 +44,7 @@
   Member,
   RelayConfiguration,
 } from './CactusdealRelayTypes.js';
+import { createUplink, type Uplink } from './CactusdealRelayUplink.js';
 import { createUpstreamTracker, type UpstreamTracker } from './CactusdealRelayUpstreamTracker.js';
 
 /** Settings and dependencies of a relay. */
@@ -59,6 +60,8 @@
   readonly graceMs: number;
   /** Memory of the host, in bytes; each part of the daemon has only a limit of its own without it. */
   readonly hostBytes?: number;
+  /** Bandwidth of the host's uplink, in Mbit/s; large answers are not limited by it without it. */
+  readonly uplinkMbps?: number | undefined;
   /** Makes the runtime collect garbage, if it offers that. */
   readonly collectGarbage?: () => unknown;
   readonly names: HeaderNames;
@@ -125,6 +128,7 @@
   readonly quarantine: Quarantine;
   readonly quotas: Quotas;
   readonly rollouts: Rollouts;
+  readonly uplink: Uplink | undefined;
   readonly log: Log;
 }
 
@@ -137,6 +141,8 @@
   const startedAtMs = clock();
   const memory = createMemoryBudgets(options.hostBytes, options.collectGarbage);
   const linkBytes = memory.links;
+  const { uplinkMbps } = options;
+  const uplink = uplinkMbps === undefined ? undefined : createUplink(uplinkMbps, clock);
   const deferredTasks = createDeferredTasks();
   let isStopping = false;
 
@@ -178,6 +184,8 @@
     clock,
     pacer,
     answerBytes: memory.answers,
+    uplink: uplink?.admission,
+    recordUplinkRefusal: () => metrics.recordUplinkRefusal(),
     log,
     observe: () => listener?.pushReport(),
     receiveLeaving: (upstream) => upstreamTracker.receiveLeaving(upstream),
@@ -298,6 +306,7 @@
     listRollouts: () => rollouts.list(),
     countLinks: () => members.countConnected(),
     countLostLines: options.countLostLines,
+    countUplinkBytes: () => uplink?.countWaitingBytes(),
     getQuotaStatus: () => quotas.getStatus(),
   });
   listener = await startLinkListener({
@@ -311,6 +320,7 @@
     receiveQuota: (from, message, reply) => quotas.receive(from, message, reply),
     ...rolloutExchange,
     linkBytes,
+    uplink,
     names,
     clock,
     recordCancelled: (stage) => metrics.recordCancelled(stage),
@@ -352,6 +362,7 @@
     quarantine,
     quotas,
     rollouts,
+    uplink,
     log,
   };
   return {
@@ -407,4 +418,5 @@
   relayParts.quotas.close();
   relayParts.rollouts.close();
   await listener.close();
+  relayParts.uplink?.close();
 }
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
@@ -8,6 +8,7 @@
   type LinkWriter,
   PIECE_BYTES,
 } from '../../CactusdealRelayLinkWriter.js';
+import { createUplink } from '../../CactusdealRelayUplink.js';
 
 /** A socket that takes one write and then none until `passOn`. */
 class NarrowSocket extends EventEmitter {
@@ -85,4 +86,22 @@
       assert.deepEqual(socket.messages.map(format), expected);
     });
   });
+
+  it('leaves the uplink to other links when its own ends midway', () => {
+    const uplink = createUplink(1_000_000, () => 0);
+    const ending = new NarrowSocket();
+    const other = new NarrowSocket();
+    const [first, second] = [ending, other].map((socket) =>
+      createLinkWriter(socket as unknown as LinkSocket, uplink),
+    );
+    first?.writeLarge(1, body(3), end(1), 100);
+    first?.writeLarge(2, body(3), end(2), 200);
+    second?.writeLarge(3, body(2), end(3), 300);
+    ending.emit('close');
+    assert.equal(uplink.countWaitingBytes(), PIECE_BYTES);
+    other.passOn();
+    uplink.close();
+    assert.equal(uplink.countWaitingBytes(), 0);
+    assert.deepEqual(other.messages.map(format), ['piece 3', 'piece 3', 'end 3']);
+  });
 });
