--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -123,6 +123,7 @@
   services: readonly string[],
   retryBudget: NonNullable<RelayOptions['retryBudget']> = MANY_RETRIES,
   getDataCentre: (index: number) => string = () => 'west',
+  uplinkMbps?: number,
 ): Promise<TestCluster> {
   const members: Member[] = [];
   const published = [configuration];
@@ -137,7 +138,7 @@
       startHost(
         { id: `d${index}`, dataCentre: getDataCentre(index), service },
         index,
-        { source, registry, rolloutStore, retryBudget },
+        { source, registry, rolloutStore, retryBudget, uplinkMbps },
         servers,
       ),
     ),
@@ -177,7 +178,10 @@
 async function startHost(
   self: Omit<Member, 'address'>,
   index: number,
-  parts: Pick<RelayOptions, 'source' | 'registry' | 'rolloutStore' | 'retryBudget'>,
+  parts: Pick<
+    RelayOptions,
+    'source' | 'registry' | 'rolloutStore' | 'retryBudget' | 'uplinkMbps'
+  >,
   servers: Server[],
 ): Promise<TestHost> {
   const { id, service } = self;
