--- a/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayTestCluster.ts
@@ -178,10 +178,7 @@
 async function startHost(
   self: Omit<Member, 'address'>,
   index: number,
-  parts: Pick<
-    RelayOptions,
-    'source' | 'registry' | 'rolloutStore' | 'retryBudget' | 'uplinkMbps'
-  >,
+  parts: Pick<RelayOptions, 'source' | 'registry' | 'rolloutStore' | 'retryBudget' | 'uplinkMbps'>,
   servers: Server[],
 ): Promise<TestHost> {
   const { id, service } = self;
