Send large bodies of calls over links in pieces

Cause: a body of 60 to 360 KB held up every message behind it on a narrow link, and its transfer time counted as overhead of small calls. Change: bodies above 16 KB go ahead of their call in CallPiece messages, which take turns with other messages, to a daemon whose hello says that it takes them. Before the call itself is written it cannot have run: a lost link or silence ends it as not run. Pieces are held in the link budget; without room the call is refused as not run. The time of a transfer is estimated by size, for gates of other daemons only, apart from the overhead. The old test of the writer calls writeLarge with a function that builds the message; its expectations are unchanged.

--- a/packages/relay/src/CactusdealRelayKnownGate.ts
+++ b/packages/relay/src/CactusdealRelayKnownGate.ts
@@ -32,6 +32,8 @@
   readonly estimateCapMs: number;
   /** What the call has in common with those that a busy gate refuses alike. */
   readonly refusalKey: string;
+  /** Size of its body, in bytes; 0 by default. */
+  readonly bodyBytes?: number;
 }
 
 /** What is kept of a call for its end. */
@@ -39,6 +41,7 @@
   readonly kind: string;
   readonly refusalKey: string;
   readonly targetMs: number;
+  readonly bodyBytes: number;
 }
 
 /** Refusals kept; they count for a moment only. */
@@ -67,12 +70,13 @@
     recordSent: () => {
       unreportedCalls += 1;
     },
-    recordEnd: ({ kind, refusalKey, targetMs }, end, elapsedMs) => {
+    recordEnd: ({ kind, refusalKey, targetMs, bodyBytes }, end, elapsedMs) => {
       if (end.type === 'answered') {
         const { serviceMs, queuedMs, answer } = end;
         const record =
           answer.status >= MIN_SERVER_ERROR_STATUS ? latency.recordFailed : latency.recordAnswer;
-        record(kind, elapsedMs, serviceMs, queuedMs, isWarmingUp() ? WARM_UP_FACTOR : 1);
+        const slowFactor = isWarmingUp() ? WARM_UP_FACTOR : 1;
+        record(kind, elapsedMs, serviceMs, queuedMs, { slowFactor, bodyBytes });
       }
       if (end.type === 'not-run' && end.reason === NotRunReason.Busy) {
         if (refusals.size >= MAX_REFUSALS) refusals.clear();
@@ -81,7 +85,7 @@
     },
     recordAbandoned: (kind, elapsedMs) => latency.recordAbandoned(kind, elapsedMs),
     getService: () => report?.service,
-    getView: ({ kind, estimateCapMs, refusalKey }, avoidedUntilMs) => {
+    getView: ({ kind, estimateCapMs, refusalKey, bodyBytes = 0 }, avoidedUntilMs) => {
       if (report === undefined) return undefined;
       return {
         memberId,
@@ -93,7 +97,7 @@
         refusal: refusals.get(refusalKey),
         serviceMs: latency.getServiceMs(kind) ?? Math.min(report.serviceMs, estimateCapMs),
         isWarmingUp: isWarmingUp(),
-        overheadMs: latency.getOverheadMs(),
+        overheadMs: latency.getOverheadMs() + latency.getTransferMs(bodyBytes),
       };
     },
     forget: () => {
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -8,6 +8,7 @@
   parseAddress,
   scheduleTicks,
 } from '@cactusdeal/shared';
+import { type CallBodies, createCallBodies } from './CactusdealRelayCallBodies.js';
 import {
   createMessageReader,
   encodeMessage,
@@ -16,14 +17,15 @@
 } from './CactusdealRelayFrames.js';
 import type { Gate } from './CactusdealRelayGate.js';
 import { isReportDue } from './CactusdealRelayGateReport.js';
+import { findField } from './CactusdealRelayHeaders.js';
 import { createHeldCalls, type HeldCalls } from './CactusdealRelayHeldCalls.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
 import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import {
   type Attempt,
-  buildNotRun,
   type AttemptEnd,
+  buildNotRun,
   CallStage,
   type CrashNoticeExchange,
   type DepartureExchange,
@@ -41,6 +43,7 @@
   parseDeparture,
   parseHello,
   parseLimit,
+  parsePiece,
   parsePongTime,
   type Status,
   toCrashesMessage,
@@ -101,6 +104,8 @@
   readonly heldCalls: HeldCalls;
   /** The other daemon; undefined until it has said who it is. */
   member: Member | undefined;
+  /** Bodies of calls that are arriving in pieces. */
+  readonly callBodies: CallBodies;
   isLocal: boolean;
   /** What the other daemon last heard of the gate's state over this link. */
   told: Pick<GateReport, 'load' | 'failureRate'>;
@@ -196,6 +201,7 @@
       confirm: () => writer.write([MessageKind.Ping]),
     }),
     member: undefined,
+    callBodies: createCallBodies(options.linkBytes),
     isLocal: false,
     told: { load: 0, failureRate: 0 },
   };
@@ -218,6 +224,7 @@
   socket.on('close', () => {
     reader.close();
     links.delete(link);
+    link.callBodies.close();
     link.heldCalls.close();
     link.activeCalls.forEach((attempt) => attempt.cancel());
   });
@@ -242,7 +249,10 @@
       break;
     }
     case MessageKind.Call:
-      link.heldCalls.hold(message[1] as number, parseCall(message), parseCallTime(message));
+      receiveCall(options, link, message);
+      break;
+    case MessageKind.CallPiece:
+      link.callBodies.add(parsePiece(message));
       break;
     case MessageKind.Cancel:
       cancelCall(options, link, message[1] as number);
@@ -298,8 +308,22 @@
   if (notices.length > 0) write(link, toCrashesMessage(notices));
 }
 
+/** Holds a call with the body that went ahead in pieces, if it did. */
+function receiveCall(options: LinkListenerOptions, link: AcceptedLink, message: Message): void {
+  const id = message[1] as number;
+  const call = parseCall(message);
+  const body = link.callBodies.take(id);
+  if (body.type === 'excess') {
+    options.log.warn('call-body-dropped', { call: findField(call.headers, options.names.callId) });
+    writeEnd(link, id, buildNotRun(NotRunReason.NoMemory), options.gate.getReport());
+    return;
+  }
+  const whole = body.type === 'whole' ? { ...call, body: body.bytes } : call;
+  link.heldCalls.hold(id, whole, parseCallTime(message));
+}
+
 function cancelCall(options: LinkListenerOptions, link: AcceptedLink, id: number): void {
-  if (link.heldCalls.cancel(id)) {
+  if (link.callBodies.discard(id) || link.heldCalls.cancel(id)) {
     options.recordCancelled(CallStage.Link);
     return;
   }
@@ -336,7 +360,8 @@
     return;
   }
   const endWithoutBody = { ...end, answer: { ...end.answer, body: NO_BODY } };
-  writer.writeLarge(id, end.answer.body, toEndMessage(id, endWithoutBody, report));
+  const message = toEndMessage(id, endWithoutBody, report);
+  writer.writeLarge(id, end.answer.body, () => message);
 }
 
 function writeFrame({ socket }: AcceptedLink, frame: Buffer): void {
--- a/packages/relay/src/CactusdealRelayLinkWriter.ts
+++ b/packages/relay/src/CactusdealRelayLinkWriter.ts
@@ -1,48 +1,57 @@
 import type { Socket } from 'node:net';
 import { encodeMessage, type Message, MessageKind } from './CactusdealRelayFrames.js';
 
-/** Writes messages to a link; large answers go in pieces between the other messages. */
+/** Writes messages to a link; large bodies go in pieces between the other messages. */
 export interface LinkWriter {
   write(message: Message): void;
-  /** Writes `body` in pieces, then `message`, which ends the call with this id. */
-  writeLarge(id: number, body: Uint8Array, message: Message): void;
-  /** Discards what is left of the large answer to the call with this id. */
+  /**
+   * Writes `body` in pieces, then the message that `buildMessage` builds at that moment, to which the body
+   * belongs.
+   */
+  writeLarge(id: number, body: Uint8Array, buildMessage: () => Message): void;
+  /** Discards what is left of the large body of the call with this id. */
   discard(id: number): void;
 }
 
+/** Kind of the messages that hold the pieces. */
+export type PieceKind = typeof MessageKind.AnswerPiece | typeof MessageKind.CallPiece;
+
 /** The part of a socket that the writer uses. */
 export type LinkSocket = Pick<Socket, 'destroyed' | 'writableNeedDrain' | 'write' | 'on'>;
 
-/** An answer of which some pieces are not written yet. */
-interface LargeAnswer {
+/** A body of which some pieces are not written yet. */
+interface LargeBody {
   readonly id: number;
-  readonly body: Uint8Array;
-  readonly message: Message;
+  readonly bytes: Uint8Array;
+  readonly buildMessage: () => Message;
   writtenBytes: number;
 }
 
-/** Size of a piece; also the size above which an answer is written in pieces. */
+/** Size of a piece; also the size above which a body is written in pieces. */
 export const PIECE_BYTES = 16 * 1024;
 
 /**
- * Creates the writer of one link.
+ * Creates the writer of one link, whose large bodies are those of answers or of calls.
  *
- * Load pattern: large answers beside small calls on a narrow link. A large answer that was written at
- * once would hold up every message behind it for its whole transfer time. Pieces of all large answers
+ * Load pattern: large bodies beside small calls on a narrow link. A large body that was written at
+ * once would hold up every message behind it for its whole transfer time. Pieces of all large bodies
  * take turns, and the next one is written only when the socket has passed on the last, so a small
  * message waits for the data that the socket holds already and no more.
  */
-export function createLinkWriter(socket: LinkSocket): LinkWriter {
-  let answers: LargeAnswer[] = [];
+export function createLinkWriter(
+  socket: LinkSocket,
+  pieceKind: PieceKind = MessageKind.AnswerPiece,
+): LinkWriter {
+  let bodies: LargeBody[] = [];
   socket.on('drain', writePieces);
   return {
     write,
-    writeLarge: (id, body, message) => {
-      answers.push({ id, body, message, writtenBytes: 0 });
+    writeLarge: (id, bytes, buildMessage) => {
+      bodies.push({ id, bytes, buildMessage, writtenBytes: 0 });
       writePieces();
     },
     discard: (id) => {
-      answers = answers.filter((answer) => answer.id !== id);
+      bodies = bodies.filter((body) => body.id !== id);
     },
   };
 
@@ -52,18 +61,18 @@
 
   function writePieces(): void {
     while (!socket.destroyed && !socket.writableNeedDrain) {
-      const answer = answers.shift();
-      if (answer === undefined) return;
-      writePiece(answer);
+      const body = bodies.shift();
+      if (body === undefined) return;
+      writePiece(body);
     }
   }
 
-  function writePiece(largeAnswer: LargeAnswer): void {
-    const answer = largeAnswer;
-    const end = Math.min(answer.body.byteLength, answer.writtenBytes + PIECE_BYTES);
-    write([MessageKind.AnswerPiece, answer.id, answer.body.subarray(answer.writtenBytes, end)]);
-    answer.writtenBytes = end;
-    if (end < answer.body.byteLength) answers.push(answer);
-    else write(answer.message);
+  function writePiece(largeBody: LargeBody): void {
+    const body = largeBody;
+    const end = Math.min(body.bytes.byteLength, body.writtenBytes + PIECE_BYTES);
+    write([pieceKind, body.id, body.bytes.subarray(body.writtenBytes, end)]);
+    body.writtenBytes = end;
+    if (end < body.bytes.byteLength) bodies.push(body);
+    else write(body.buildMessage());
   }
 }
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -57,6 +57,8 @@
   readonly estimateCapMs: number;
   /** What the call has in common with those that a busy gate refuses alike. */
   readonly refusalKey: string;
+  /** Size of its body, in bytes. */
+  readonly bodyBytes: number;
 }
 
 export interface MembersOptions extends DepartureExchange, LimitExchange, CrashNoticeExchange {
@@ -106,11 +108,11 @@
     merge,
     find: (id) => peers.get(id),
     list: () => [...peers.values()],
-    listGates: ({ service, kind, estimateCapMs, refusalKey }, isLocal) => {
+    listGates: ({ service, kind, estimateCapMs, refusalKey, bodyBytes }, isLocal) => {
       const views: GateView[] = [];
       peers.forEach((peer) => {
         if (peer.getService() !== service || isLocalPeer(peer) !== isLocal) return;
-        const view = peer.getView(kind, estimateCapMs, refusalKey);
+        const view = peer.getView(kind, estimateCapMs, refusalKey, bodyBytes);
         if (view !== undefined) views.push(view);
       });
       return views;
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -9,6 +9,7 @@
 import type { GateView } from './CactusdealRelayBalancer.js';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
 import { createKnownGate, type KnownGate } from './CactusdealRelayKnownGate.js';
+import { PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
 import { formatRefusalKey } from './CactusdealRelayOrganisations.js';
 import { createPeerLink, type PeerLink } from './CactusdealRelayPeerLink.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
@@ -62,8 +63,14 @@
   /**
    * The gate as known here; undefined until a report arrives. `estimateCapMs` bounds the service
    * time estimated for a kind without samples. `refusalKey` is that of `formatRefusalKey`, by default the kind.
+   * `bodyBytes` is the size of the call's body.
    */
-  getView(kind: string, estimateCapMs: number, refusalKey?: string): GateView | undefined;
+  getView(
+    kind: string,
+    estimateCapMs: number,
+    refusalKey?: string,
+    bodyBytes?: number,
+  ): GateView | undefined;
   /** Service of the gate; undefined until a report arrives. */
   getService(): string | undefined;
   /**
@@ -124,6 +131,9 @@
   readonly idempotent: boolean;
   readonly targetMs: number;
   readonly sentAtMs: number;
+  readonly bodyBytes: number;
+  /** Whether all of the call has been written; before that it cannot run. */
+  isComplete: boolean;
   /** Pieces of a large answer that have arrived; undefined before the first one. */
   pieces: ByteCollector | undefined;
   /** Arrival of the first piece or, without pieces, of the end. */
@@ -171,6 +181,9 @@
 
   private status: (Status & { readonly atMs: number }) | undefined;
 
+  /** Whether the daemon takes the bodies of calls in pieces. */
+  private takesCallPieces = false;
+
   private nextId = 1;
 
   /** Whether calls were given up since the last message. */
@@ -216,10 +229,15 @@
     return this.isConnected() ? this.gate.getService() : undefined;
   }
 
-  public getView(kind: string, estimateCapMs: number, refusalKey = kind): GateView | undefined {
+  public getView(
+    kind: string,
+    estimateCapMs: number,
+    refusalKey = kind,
+    bodyBytes = 0,
+  ): GateView | undefined {
     if (!this.isConnected()) return undefined;
     const avoidedUntilMs = this.isSuspect() ? Infinity : this.avoidedUntilMs;
-    return this.gate.getView({ kind, estimateCapMs, refusalKey }, avoidedUntilMs);
+    return this.gate.getView({ kind, estimateCapMs, refusalKey, bodyBytes }, avoidedUntilMs);
   }
 
   public getStatus(): (Status & { readonly atMs: number }) | undefined {
@@ -241,9 +259,8 @@
     this.gate.forget();
     this.status = undefined;
     this.hasGivenUp = false;
-    [...this.pendingCalls.values()].forEach(({ settle }) =>
-      settle({ type: 'unknown', reason: UnknownReason.LinkLost }),
-    );
+    this.takesCallPieces = false;
+    [...this.pendingCalls.values()].forEach((pending) => pending.settle(buildLostEnd(pending)));
     this.options.observeEnd?.();
   }
 
@@ -266,13 +283,18 @@
 
   private cancelIdempotent(): void {
     this.hasGivenUp = true;
-    this.pendingCalls.forEach(({ idempotent, settle }, id) => {
-      if (!idempotent) return;
-      this.link.write([MessageKind.Cancel, id]);
-      settle({ type: 'unknown', reason: UnknownReason.LinkLost });
+    this.pendingCalls.forEach((pending, id) => {
+      if (!pending.idempotent && pending.isComplete) return;
+      this.writeCancel(id);
+      pending.settle(buildLostEnd(pending));
     });
   }
 
+  private writeCancel(id: number): void {
+    this.link.discard(id);
+    this.link.write([MessageKind.Cancel, id]);
+  }
+
   private receive(message: Message): void {
     this.hasGivenUp = false;
     switch (message[0]) {
@@ -325,12 +347,13 @@
 
   /** A host's address may pass to another host, whose daemon must not be taken for this one. */
   private receiveHello(message: Message): void {
-    const { member, status } = parseHello(message);
+    const { member, status, takesCallPieces } = parseHello(message);
     if (member.id !== this.member.id) {
       this.link.fail(`daemon ${member.id} answers at ${this.member.address}`);
       return;
     }
     this.link.accept();
+    this.takesCallPieces = takesCallPieces;
     this.setStatus(status);
   }
 
@@ -376,6 +399,8 @@
         idempotent,
         targetMs,
         sentAtMs: clock(),
+        bodyBytes: call.body?.byteLength ?? 0,
+        isComplete: false,
         pieces: undefined,
         answeredAtMs: undefined,
         settle: (result) => {
@@ -390,15 +415,38 @@
       this.options.observeWaiting?.();
     }
     this.gate.recordSent();
-    this.link.write(toCallMessage(id, call, wantedAtMs));
+    this.writeCall(id, call, wantedAtMs);
     return { end, cancel: () => this.cancel(id) };
   }
 
+  private writeCall(id: number, call: GateCall, wantedAtMs: number): void {
+    const { body } = call;
+    if (body === undefined || body.byteLength <= PIECE_BYTES || !this.takesCallPieces) {
+      this.recordComplete(id);
+      this.link.write(toCallMessage(id, call, wantedAtMs));
+      return;
+    }
+    this.link.writeLarge(id, body, () => {
+      this.recordComplete(id);
+      // A caller that left before now would have had the call cancelled.
+      const nowMs = this.options.clock();
+      const elapsedMs = nowMs - wantedAtMs;
+      const remainingMs = call.remainingMs - elapsedMs;
+      const targetMs = call.targetMs - elapsedMs;
+      return toCallMessage(id, { ...call, body: undefined, remainingMs, targetMs }, nowMs);
+    });
+  }
+
+  private recordComplete(id: number): void {
+    const pending = this.pendingCalls.get(id);
+    if (pending !== undefined) pending.isComplete = true;
+  }
+
   private cancel(id: number): void {
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
     this.gate.recordAbandoned(pending.kind, this.options.clock() - pending.sentAtMs);
-    this.link.write([MessageKind.Cancel, id]);
+    this.writeCancel(id);
     pending.settle({ type: 'unknown', reason: UnknownReason.Cancelled });
   }
 
@@ -427,6 +475,13 @@
   }
 }
 
+/** The end of a call whose link is lost: it has run only if all of it was sent. */
+function buildLostEnd({ isComplete }: PendingCall): AttemptEnd {
+  return isComplete
+    ? { type: 'unknown', reason: UnknownReason.LinkLost }
+    : buildNotRun(NotRunReason.Unreachable);
+}
+
 /** Puts the pieces that went ahead of an answer in place of its body. */
 function addPieces(end: AttemptEnd, pieces: ByteCollector | undefined): AttemptEnd {
   if (end.type !== 'answered' || pieces === undefined) return end;
--- a/packages/relay/src/CactusdealRelayPeerLink.ts
+++ b/packages/relay/src/CactusdealRelayPeerLink.ts
@@ -11,8 +11,10 @@
   createMessageReader,
   encodeParts,
   type Message,
+  MessageKind,
   type MessageReader,
 } from './CactusdealRelayFrames.js';
+import { createLinkWriter, type LinkWriter } from './CactusdealRelayLinkWriter.js';
 import type { Member } from './CactusdealRelayTypes.js';
 
 /** The connection to another daemon, opened again whenever it ends. */
@@ -22,6 +24,10 @@
   write(message: Message): void;
   /** Writes an encoded message; does nothing without a connection. */
   writeFrame(frame: Buffer): void;
+  /** Writes `body` in pieces between other messages, then what `buildMessage` builds at that moment. */
+  writeLarge(id: number, body: Uint8Array, buildMessage: () => Message): void;
+  /** Discards what is left of the large body of the call with this id. */
+  discard(id: number): void;
   /** Ends the connection; `reason` goes to the log. */
   fail(reason: string): void;
   /** Time since the last data, in milliseconds. */
@@ -69,6 +75,8 @@
 
   private socket: Socket | undefined;
 
+  private writer: LinkWriter | undefined;
+
   private lastReceivedAtMs = 0;
 
   private lastConnectedAtMs: number;
@@ -128,6 +136,7 @@
 
   private startConnection(socket: Socket): void {
     this.socket = socket;
+    this.writer = createLinkWriter(socket, MessageKind.CallPiece);
     this.resetSilence();
     this.options.log.info('link-opened', { peer: this.options.member.id });
     this.options.open();
@@ -147,6 +156,7 @@
   private endConnection(): void {
     if (this.socket !== undefined) this.lastConnectedAtMs = this.options.clock();
     this.socket = undefined;
+    this.writer = undefined;
     this.options.end();
   }
 
@@ -162,6 +172,14 @@
     this.socket?.write(frame);
   }
 
+  public writeLarge(id: number, body: Uint8Array, buildMessage: () => Message): void {
+    this.writer?.writeLarge(id, body, buildMessage);
+  }
+
+  public discard(id: number): void {
+    this.writer?.discard(id);
+  }
+
   public fail(reason: string): void {
     this.socket?.destroy(new Error(reason));
   }
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -170,11 +170,12 @@
 
   private choose(nowMs: number): Choice {
     const { members, random } = this.options;
-    const { service, kind, priority } = this.routed.call;
+    const { service, kind, priority, body } = this.routed.call;
     const targetMs = this.routed.targetAtMs - nowMs;
     const estimateCapMs = computeEstimateCapMs(targetMs);
     const refusalKey = formatRefusalKey(this.routed.call);
-    const query = { service, kind, estimateCapMs, refusalKey };
+    const bodyBytes = body?.byteLength ?? 0;
+    const query = { service, kind, estimateCapMs, refusalKey, bodyBytes };
     const listGates = (isLocal: boolean): readonly GateView[] => {
       const own = isLocal ? this.buildOwnView(query, nowMs) : undefined;
       const others = members.listGates(query, isLocal);
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -32,6 +32,8 @@
   readonly status: Status;
   /** Time of sending by its clock; undefined from a daemon that does not name it. */
   readonly sentAtMs: number | undefined;
+  /** Whether the daemon takes the bodies of calls in pieces; one of an earlier version does not. */
+  readonly takesCallPieces: boolean;
 }
 
 const NO_BODY = null;
@@ -39,6 +41,8 @@
 const NO_TIME = null;
 const NO_ORGANISATION = null;
 const NO_VERSION = null;
+/** Field of a hello by which a daemon says that it takes the bodies of calls in pieces. */
+const TAKES_CALL_PIECES = true;
 
 /** Encodes a call as fields of a message, with the time to which its own times refer, by this daemon's clock. */
 export function toCallMessage(id: number, call: GateCall, sentAtMs: number): Message {
@@ -104,7 +108,7 @@
   };
 }
 
-/** The fields of a piece of a large answer; its call's end follows without the body. */
+/** The fields of a piece of a large body; the call or its end follows without the body. */
 export function parsePiece(message: Message): { readonly id: number; readonly bytes: Uint8Array } {
   return { id: message[1] as number, bytes: message[2] as Uint8Array };
 }
@@ -187,13 +191,14 @@
   const { id, dataCentre, service, address } = member;
   const { version, platformAgeMs, storeEra = NO_ERA } = status;
   const time = Math.round(sentAtMs);
-  const statusFields = [version, platformAgeMs] as const;
-  return [MessageKind.Hello, id, dataCentre, address, ...statusFields, service, time, storeEra];
+  const fields = [id, dataCentre, address, version, platformAgeMs, service, time, storeEra];
+  return [MessageKind.Hello, ...fields, TAKES_CALL_PIECES];
 }
 
 /** @throws RangeError if the message names no daemon that can be linked to. */
 export function parseHello(message: Message): Hello {
-  const [, id, dataCentre, address, version, platformAgeMs, service, time, era] = message;
+  const [, id, dataCentre, address, version, platformAgeMs, service, time, era, takesPieces] =
+    message;
   const member = parseMember({ id, dataCentre, address, service });
   if (member === undefined)
     throw new RangeError(`hello of no valid daemon: id ${String(id)}, address ${String(address)}`);
@@ -205,6 +210,7 @@
       storeEra: parseEra(era),
     },
     sentAtMs: parseTime(time),
+    takesCallPieces: takesPieces === TAKES_CALL_PIECES,
   };
 }
 
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -1,14 +1,18 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
 import { describe, it } from 'node:test';
-import { createSilentLog, getMonotonicMs, parseAddress } from '@cactusdeal/shared';
+import {
+  createByteBudget,
+  createSilentLog,
+  getMonotonicMs,
+  parseAddress,
+} from '@cactusdeal/shared';
 import {
   createMessageReader,
   encodeMessage,
   type Message,
   MessageKind,
 } from '../../CactusdealRelayFrames.js';
-import { createMemoryBudgets } from '../../CactusdealRelayMemory.js';
 import type { Gate } from '../../CactusdealRelayGate.js';
 import { startLinkListener } from '../../CactusdealRelayLinkListener.js';
 import { buildNotRun, NotRunReason } from '../../CactusdealRelayTypes.js';
@@ -22,10 +26,16 @@
   readonly name: string;
   /** Messages that arrive in one chunk. */
   readonly messages: readonly Message[];
-  /** Paths of the calls that reach the gate. */
+  /** Paths of the calls that reach the gate, with the sizes of their bodies. */
   readonly served: readonly string[];
 }
 
+const piece = (id: number, bytes: number): Message => [
+  MessageKind.CallPiece,
+  id,
+  new Uint8Array(bytes),
+];
+
 const cases: readonly Case[] = [
   {
     name: 'a call',
@@ -37,6 +47,25 @@
     messages: [toCallMessage(1, buildCall({ path: '/a' }), 0), [MessageKind.Cancel, 1]],
     served: [],
   },
+  {
+    name: 'a call whose body went ahead in two pieces',
+    messages: [piece(1, 3), piece(1, 4), toCallMessage(1, buildCall({ path: '/a' }), 0)],
+    served: ['/a 7'],
+  },
+  {
+    name: 'pieces of a body and the cancellation of its call',
+    messages: [
+      piece(1, 3),
+      [MessageKind.Cancel, 1],
+      toCallMessage(2, buildCall({ path: '/b' }), 0),
+    ],
+    served: ['/b'],
+  },
+  {
+    name: 'a call whose body finds no room',
+    messages: [piece(1, 200), toCallMessage(1, buildCall({ path: '/a' }), 0)],
+    served: [],
+  },
   {
     name: 'two calls and the cancellation of one',
     messages: [
@@ -62,7 +91,7 @@
         receiveDeparture: () => {},
         ...NO_CRASHES,
         receiveMember: () => {},
-        linkBytes: createMemoryBudgets().links,
+        linkBytes: createByteBudget(100),
         recordCancelled: () => {},
         names: NAMES,
         clock: getMonotonicMs,
@@ -84,7 +113,7 @@
 function createRecordingGate(paths: string[]): Gate {
   return {
     serve: (call) => {
-      paths.push(call.path);
+      paths.push(call.body === undefined ? call.path : `${call.path} ${call.body.byteLength}`);
       return { end: Promise.resolve(buildNotRun(NotRunReason.Closed)), cancel: () => {} };
     },
     setUpstream: () => {},
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
@@ -36,7 +36,9 @@
 
 /** Kind and call id of each message in the order in which they were written. */
 const format = ([kind, id]: Message): string =>
-  kind === MessageKind.AnswerPiece ? `piece ${String(id)}` : `end ${String(id)}`;
+  kind === MessageKind.AnswerPiece || kind === MessageKind.CallPiece
+    ? `piece ${String(id)}`
+    : `end ${String(id)}`;
 
 interface Case {
   readonly name: string;
@@ -48,14 +50,17 @@
 const cases: readonly Case[] = [
   {
     name: 'a small answer before the rest of a large one',
-    steps: [(writer) => writer.writeLarge(1, body(3), end(1)), (writer) => writer.write(end(2))],
+    steps: [
+      (writer) => writer.writeLarge(1, body(3), () => end(1)),
+      (writer) => writer.write(end(2)),
+    ],
     expected: ['piece 1', 'end 2', 'piece 1', 'piece 1', 'end 1'],
   },
   {
     name: 'the end of an answer right after its last piece',
     steps: [
-      (writer) => writer.writeLarge(1, body(2), end(1)),
-      (writer) => writer.writeLarge(2, body(2), end(2)),
+      (writer) => writer.writeLarge(1, body(2), () => end(1)),
+      (writer) => writer.writeLarge(2, body(2), () => end(2)),
     ],
     expected: ['piece 1', 'piece 1', 'end 1', 'piece 2', 'piece 2', 'end 2'],
   },
@@ -63,14 +68,14 @@
     name: 'the pieces of large answers that wait in turn',
     steps: [
       (writer) => writer.write(end(9)),
-      (writer) => writer.writeLarge(1, body(2), end(1)),
-      (writer) => writer.writeLarge(2, body(1), end(2)),
+      (writer) => writer.writeLarge(1, body(2), () => end(1)),
+      (writer) => writer.writeLarge(2, body(1), () => end(2)),
     ],
     expected: ['end 9', 'piece 1', 'piece 2', 'end 2', 'piece 1', 'end 1'],
   },
   {
     name: 'nothing more of an answer that is discarded',
-    steps: [(writer) => writer.writeLarge(1, body(3), end(1)), (writer) => writer.discard(1)],
+    steps: [(writer) => writer.writeLarge(1, body(3), () => end(1)), (writer) => writer.discard(1)],
     expected: ['piece 1'],
   },
 ];
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -10,7 +10,13 @@
 } from '../../CactusdealRelayFrames.js';
 import { createMemoryBudgets } from '../../CactusdealRelayMemory.js';
 import { createPeer, type Peer, SILENCE_CHECK_MS } from '../../CactusdealRelayPeer.js';
-import type { AttemptEnd, GateCall, Member } from '../../CactusdealRelayTypes.js';
+import {
+  type AttemptEnd,
+  buildNotRun,
+  type GateCall,
+  type Member,
+  NotRunReason,
+} from '../../CactusdealRelayTypes.js';
 import { toEndMessage, toHelloMessage, toReportMessage } from '../../CactusdealRelayWire.js';
 import { findAddress, waitUntil } from '../CactusdealRelayTestCluster.js';
 import { buildCall, NO_CRASHES } from '../CactusdealRelayFixtures.js';
@@ -41,10 +47,11 @@
   readonly received: Message[];
   send(message: Message): void;
   countConnections(): number;
+  endLink(): void;
   close(): void;
 }
 
-async function startDaemon(greetedId = 'd2'): Promise<SilentDaemon> {
+async function startDaemon(greetedId = 'd2', takesPieces = true): Promise<SilentDaemon> {
   const address = await findAddress();
   const member = { ...self, id: 'd2', service: 'records', address };
   const received: Message[] = [];
@@ -55,7 +62,9 @@
     socket.on('error', () => {});
     const { read } = createMessageReader((message) => received.push(message));
     socket.on('data', (chunk: Buffer) => read(chunk));
-    send(toHelloMessage({ ...member, id: greetedId }, status, 0));
+    const hello = toHelloMessage({ ...member, id: greetedId }, status, 0);
+    // The last field is missing from a daemon that does not know pieces.
+    send((takesPieces ? hello : hello.slice(0, -1)) as unknown as Message);
     send(toReportMessage(report));
   });
   const { host, port } = parseAddress(address);
@@ -83,6 +92,7 @@
     received,
     send,
     countConnections: () => sockets.length,
+    endLink: () => sockets.at(-1)?.destroy(),
     close: () => {
       clearInterval(timer);
       peer.close();
@@ -132,3 +142,62 @@
     daemon.close();
   });
 });
+
+describe('a call with a large body', () => {
+  const buildLargeCall = (bytes: number): GateCall => ({
+    ...buildTestCall(false),
+    body: new Uint8Array(bytes),
+  });
+  const isCall = ([kind]: Message): boolean => kind === MessageKind.Call;
+
+  // The body is larger than what the kernel takes at once on loopback.
+  it('goes in pieces, behind which a small call does not wait', async () => {
+    const daemon = await startDaemon();
+    await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
+    void daemon.peer.send(buildLargeCall(20_000_000), 0);
+    void daemon.peer.send(buildTestCall(true), 0);
+    await waitUntil(() => daemon.received.filter(isCall).length === 2, 'both calls arrive');
+    assert.deepEqual(
+      daemon.received.filter(isCall).map(([, id]) => id),
+      [2, 1],
+    );
+    const pieces = daemon.received.filter(([kind]) => kind === MessageKind.CallPiece);
+    const bytes = pieces.reduce((sum, piece) => sum + (piece[2] as Uint8Array).byteLength, 0);
+    assert.equal(bytes, 20_000_000);
+    daemon.close();
+  });
+
+  it('goes whole to a daemon that does not know pieces', async () => {
+    const daemon = await startDaemon('d2', false);
+    await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
+    void daemon.peer.send(buildLargeCall(400_000), 0);
+    await waitUntil(() => daemon.received.some(isCall), 'the call arrives');
+    const call = daemon.received.find(isCall);
+    assert.equal((call?.[6] as Uint8Array).byteLength, 400_000);
+    assert.ok(daemon.received.every(([kind]) => kind !== MessageKind.CallPiece));
+    daemon.close();
+  });
+
+  it('has not run if the link is lost before its last piece, so that it may run elsewhere', async () => {
+    const daemon = await startDaemon();
+    await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
+    const { end } = daemon.peer.send(buildLargeCall(30_000_000), 0);
+    daemon.endLink();
+    assert.deepEqual(await end, buildNotRun(NotRunReason.Unreachable));
+    daemon.close();
+  });
+
+  it('is not sent any further once it is cancelled', async () => {
+    const daemon = await startDaemon();
+    await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
+    daemon.peer.send(buildLargeCall(30_000_000), 0).cancel();
+    void daemon.peer.send(buildTestCall(true), 0);
+    await waitUntil(() => daemon.received.some(isCall), 'the next call arrives');
+    assert.deepEqual(
+      daemon.received.filter(isCall).map(([, id]) => id),
+      [2],
+    );
+    assert.ok(daemon.received.some(([kind, id]) => kind === MessageKind.Cancel && id === 1));
+    daemon.close();
+  });
+});
--- a/packages/relay/src/bench/CactusdealRelayBenchUneven.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchUneven.ts
@@ -312,7 +312,12 @@
       const known = call.host.links.get(gate.member.id)?.listener.known;
       known?.receiveNews({ load: news.load, failureRate: news.failureRate });
       known?.recordEnd(
-        { kind: KIND, refusalKey: KIND, targetMs: call.targetAtMs - call.sentAtMs },
+        {
+          kind: KIND,
+          refusalKey: KIND,
+          targetMs: call.targetAtMs - call.sentAtMs,
+          bodyBytes: 0,
+        },
         end,
         getNowMs() - call.sentAtMs,
       );
