Merge large bodies in pieces; require keys also with an empty table of organisations

Cause: removing the last organisation opened all routes; the writer of links met pieces of bodies and the uplink. Change: with an empty table no key is known. One link writer takes the kind of its pieces and, for answers, the uplink.

--- a/packages/relay/src/CactusdealRelayLinkWriter.ts
+++ b/packages/relay/src/CactusdealRelayLinkWriter.ts
@@ -3,62 +3,74 @@
 import type { Uplink } from './CactusdealRelayUplink.js';
 import type { UplinkTransfer } from './CactusdealRelayUplinkSchedule.js';
 
-/** Writes messages to a link; large answers go in pieces between the other messages. */
+/** Writes messages to a link; large bodies go in pieces between the other messages. */
 export interface LinkWriter {
   write(message: Message): void;
   /**
-   * Writes `body` in pieces, then `message`, which ends the call with this id. `targetAtMs` is the time
-   * by which the caller wants it.
+   * Writes `body` in pieces, then the message that `buildMessage` builds at that moment, to which the body
+   * belongs. `targetAtMs` is the time by which an answer is wanted.
    */
-  writeLarge(id: number, body: Uint8Array, message: Message, targetAtMs?: number): void;
-  /** Discards what is left of the large answer to the call with this id. */
+  writeLarge(id: number, body: Uint8Array, buildMessage: () => Message, targetAtMs?: number): void;
+  /** Discards what is left of the large body of the call with this id. */
   discard(id: number): void;
 }
 
+/** Kind of the messages that hold the pieces. */
+export type PieceKind = typeof MessageKind.AnswerPiece | typeof MessageKind.CallPiece;
+
 /** The part of a socket that the writer uses. */
 export type LinkSocket = Pick<Socket, 'destroyed' | 'writableNeedDrain' | 'write' | 'on'>;
 
-/** An answer of which some pieces are not written yet. */
-interface LargeAnswer {
+/** A body of which some pieces are not written yet. */
+interface LargeBody {
   readonly id: number;
-  readonly body: Uint8Array;
-  readonly message: Message;
+  readonly bytes: Uint8Array;
+  readonly buildMessage: () => Message;
   writtenBytes: number;
 }
 
-/** Target of an answer that names none. */
+/** Target of a body that names none. */
 const NO_TARGET_AT_MS = Number.MAX_SAFE_INTEGER;
-/** Size of a piece; also the size above which an answer is written in pieces. */
+/** Size of a piece; also the size above which a body is written in pieces. */
 export const PIECE_BYTES = 16 * 1024;
 
+export interface LinkWriterOptions {
+  /** Kind of the messages that carry the pieces; by default those of answers. */
+  readonly pieceKind?: PieceKind;
+  /** Decides over all links which large body is written next; undefined if its bandwidth is unknown. */
+  readonly uplink?: Uplink | undefined;
+}
+
 /**
- * Creates the writer of one link.
+ * Creates the writer of one link, whose large bodies are those of answers or of calls.
  *
- * Load pattern: large answers beside small calls on a narrow link. A large answer that was written at
- * once would hold up every message behind it for its whole transfer time. Pieces of all large answers
+ * Load pattern: large bodies beside small calls on a narrow link. A large body that was written at
+ * once would hold up every message behind it for its whole transfer time. Pieces of all large bodies
  * take turns, and the next one is written only when the socket has passed on the last, so a small
- * message waits for the data that the socket holds already and no more. With an `uplink`, that decides
- * over all links which large answer is written next.
+ * message waits for the data that the socket holds already and no more.
  */
-export function createLinkWriter(socket: LinkSocket, uplink?: Uplink): LinkWriter {
-  let answers: LargeAnswer[] = [];
+export function createLinkWriter(
+  socket: LinkSocket,
+  { pieceKind = MessageKind.AnswerPiece, uplink }: LinkWriterOptions = {},
+): LinkWriter {
+  let bodies: LargeBody[] = [];
   const transfers = new Map<number, UplinkTransfer>();
   socket.on('drain', () => (uplink === undefined ? writePieces() : uplink.run()));
   socket.on('close', () => [...transfers.keys()].forEach(removeTransfer));
   return {
     write,
-    writeLarge: (id, body, message, targetAtMs = NO_TARGET_AT_MS) => {
-      const answer = { id, body, message, writtenBytes: 0 };
+    writeLarge: (id, bytes, buildMessage, targetAtMs = NO_TARGET_AT_MS) => {
+      const body = { id, bytes, buildMessage, writtenBytes: 0 };
       if (uplink !== undefined) {
-        addTransfer(uplink, answer, targetAtMs);
+        addTransfer(uplink, body, targetAtMs);
         return;
       }
-      answers.push(answer);
+      bodies.push(body);
       writePieces();
     },
     discard: (id) => {
       removeTransfer(id);
-      answers = answers.filter((answer) => answer.id !== id);
+      bodies = bodies.filter((body) => body.id !== id);
     },
   };
 
@@ -68,26 +80,26 @@
 
   function writePieces(): void {
     while (!socket.destroyed && !socket.writableNeedDrain) {
-      const answer = answers.shift();
-      if (answer === undefined) return;
-      if (writePiece(answer) > 0) answers.push(answer);
+      const body = bodies.shift();
+      if (body === undefined) return;
+      if (writePiece(body) > 0) bodies.push(body);
     }
   }
 
-  function addTransfer(to: Uplink, answer: LargeAnswer, targetAtMs: number): void {
+  function addTransfer(to: Uplink, body: LargeBody, targetAtMs: number): void {
     if (socket.destroyed) return;
-    const countRemainingBytes = (): number => answer.body.byteLength - answer.writtenBytes;
+    const countRemainingBytes = (): number => body.bytes.byteLength - body.writtenBytes;
     const transfer: UplinkTransfer = {
       targetAtMs,
       countRemainingBytes,
       isWritable: () => !socket.destroyed && !socket.writableNeedDrain,
       writePiece: () => {
         const beforeBytes = countRemainingBytes();
-        if (writePiece(answer) === 0) transfers.delete(answer.id);
+        if (writePiece(body) === 0) transfers.delete(body.id);
         return beforeBytes - countRemainingBytes();
       },
     };
-    transfers.set(answer.id, transfer);
+    transfers.set(body.id, transfer);
     to.add(transfer);
   }
 
@@ -97,13 +109,13 @@
     if (transfer !== undefined) uplink?.remove(transfer);
   }
 
-  /** Writes the next piece, after the last one also the end. Returns the bytes that are left. */
-  function writePiece(largeAnswer: LargeAnswer): number {
-    const answer = largeAnswer;
-    const end = Math.min(answer.body.byteLength, answer.writtenBytes + PIECE_BYTES);
-    write([MessageKind.AnswerPiece, answer.id, answer.body.subarray(answer.writtenBytes, end)]);
-    answer.writtenBytes = end;
-    if (end === answer.body.byteLength) write(answer.message);
-    return answer.body.byteLength - end;
+  /** Writes the next piece, after the last one also the message. Returns the bytes that are left. */
+  function writePiece(largeBody: LargeBody): number {
+    const body = largeBody;
+    const end = Math.min(body.bytes.byteLength, body.writtenBytes + PIECE_BYTES);
+    write([pieceKind, body.id, body.bytes.subarray(body.writtenBytes, end)]);
+    body.writtenBytes = end;
+    if (end === body.bytes.byteLength) write(body.buildMessage());
+    return body.bytes.byteLength - end;
   }
 }
--- a/packages/relay/src/CactusdealRelayOrganisations.ts
+++ b/packages/relay/src/CactusdealRelayOrganisations.ts
@@ -20,11 +20,14 @@
 const RANK_STEP = 1_000_000;
 const MAX_ROUTE_PRIORITY = RANK_STEP / 2 - 1;
 
-/** Compiles the organisations; undefined if there are none, so that calls need no API key. */
+/**
+ * Compiles the organisations; undefined if the configuration has no table of them, so that calls need no API
+ * key. With an empty table no key is known: the removal of the last organisation must not open all routes.
+ */
 export function buildOrganisationTable(
   organisations: readonly OrganisationRule[] | undefined,
 ): OrganisationTable | undefined {
-  if (organisations === undefined || organisations.length === 0) return undefined;
+  if (organisations === undefined) return undefined;
   const organisationsByKey = new Map<string, OrganisationRule>();
   organisations.forEach((organisation) => {
     organisation.keys.forEach((key) => organisationsByKey.set(key, organisation));
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkWriter.test.ts
@@ -37,7 +37,9 @@
 
 /** Kind and call id of each message in the order in which they were written. */
 const format = ([kind, id]: Message): string =>
-  kind === MessageKind.AnswerPiece ? `piece ${String(id)}` : `end ${String(id)}`;
+  kind === MessageKind.AnswerPiece || kind === MessageKind.CallPiece
+    ? `piece ${String(id)}`
+    : `end ${String(id)}`;
 
 interface Case {
   readonly name: string;
@@ -49,14 +51,17 @@
 const cases: readonly Case[] = [
   {
     name: 'a small answer before the rest of a large one',
-    steps: [(writer) => writer.writeLarge(1, body(3), end(1)), (writer) => writer.write(end(2))],
+    steps: [
+      (writer) => writer.writeLarge(1, body(3), () => end(1)),
+      (writer) => writer.write(end(2)),
+    ],
     expected: ['piece 1', 'end 2', 'piece 1', 'piece 1', 'end 1'],
   },
   {
     name: 'the end of an answer right after its last piece',
     steps: [
-      (writer) => writer.writeLarge(1, body(2), end(1)),
-      (writer) => writer.writeLarge(2, body(2), end(2)),
+      (writer) => writer.writeLarge(1, body(2), () => end(1)),
+      (writer) => writer.writeLarge(2, body(2), () => end(2)),
     ],
     expected: ['piece 1', 'piece 1', 'end 1', 'piece 2', 'piece 2', 'end 2'],
   },
@@ -64,14 +69,14 @@
     name: 'the pieces of large answers that wait in turn',
     steps: [
       (writer) => writer.write(end(9)),
-      (writer) => writer.writeLarge(1, body(2), end(1)),
-      (writer) => writer.writeLarge(2, body(1), end(2)),
+      (writer) => writer.writeLarge(1, body(2), () => end(1)),
+      (writer) => writer.writeLarge(2, body(1), () => end(2)),
     ],
     expected: ['end 9', 'piece 1', 'piece 2', 'end 2', 'piece 1', 'end 1'],
   },
   {
     name: 'nothing more of an answer that is discarded',
-    steps: [(writer) => writer.writeLarge(1, body(3), end(1)), (writer) => writer.discard(1)],
+    steps: [(writer) => writer.writeLarge(1, body(3), () => end(1)), (writer) => writer.discard(1)],
     expected: ['piece 1'],
   },
 ];
@@ -92,11 +97,11 @@
     const ending = new NarrowSocket();
     const other = new NarrowSocket();
     const [first, second] = [ending, other].map((socket) =>
-      createLinkWriter(socket as unknown as LinkSocket, uplink),
+      createLinkWriter(socket as unknown as LinkSocket, { uplink }),
     );
-    first?.writeLarge(1, body(3), end(1), 100);
-    first?.writeLarge(2, body(3), end(2), 200);
-    second?.writeLarge(3, body(2), end(3), 300);
+    first?.writeLarge(1, body(3), () => end(1), 100);
+    first?.writeLarge(2, body(3), () => end(2), 200);
+    second?.writeLarge(3, body(2), () => end(3), 300);
     ending.emit('close');
     assert.equal(uplink.countWaitingBytes(), PIECE_BYTES);
     other.passOn();
--- a/packages/relay/src/__tests__/unit/CactusdealRelayOrganisations.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayOrganisations.test.ts
@@ -40,6 +40,13 @@
   ['another scheme', TABLE, RESTRICTED, ['Authorization', 'Basic n1'], '401'],
   ['an empty key', TABLE, RESTRICTED, ['Authorization', 'Bearer '], '401'],
   ['a name of an object', TABLE, RESTRICTED, ['Authorization', 'Bearer __proto__'], '401'],
+  [
+    'a table without organisations',
+    buildOrganisationTable([]),
+    RESTRICTED,
+    ['Authorization', 'Bearer n1'],
+    '401',
+  ],
   ['no organisations', undefined, RESTRICTED, ['Authorization', 'Bearer n1'], 'none'],
 ];
 
