Give the failures of a document patch a type

Cause: a patch that cannot be applied threw plain errors. Change: they are FailureError with kind PatchInvalid; the caller turns them into the same result as before.

--- a/packages/relay/src/CactusdealRelayDocument.ts
+++ b/packages/relay/src/CactusdealRelayDocument.ts
@@ -1,4 +1,4 @@
-import { type Failure, formatError } from '@cactusdeal/shared';
+import { type Failure, FailureError, formatError } from '@cactusdeal/shared';
 import { type Either, Left, Right } from 'purify-ts';
 import { applyPatch, type Operation } from 'rfc6902';
 
@@ -153,7 +153,7 @@
   operation: DocumentOperation,
 ): void {
   const [name, entryName, ...rest] = parsePointer(operation.path);
-  if (name === undefined) throw new Error('replaces the whole document');
+  if (name === undefined) throw createPatchFailure('replaces the whole document');
   if (entryName === undefined) {
     const table = tables.get(name);
     if (table !== undefined) setOwn(members, name, closeTable(table));
@@ -187,10 +187,11 @@
   operation: DocumentOperation,
 ): void {
   const { op, path } = operation;
-  if (op !== 'add' && op !== 'replace' && op !== 'remove') throw new Error(`unknown: ${op}`);
-  if (op !== 'add' && !Object.hasOwn(entries, name)) throw new Error(`nothing at ${path}`);
+  if (op !== 'add' && op !== 'replace' && op !== 'remove')
+    throw createPatchFailure(`unknown: ${op}`);
+  if (op !== 'add' && !Object.hasOwn(entries, name)) throw createPatchFailure(`nothing at ${path}`);
   if (op === 'remove') Reflect.deleteProperty(entries, name);
-  else if (operation.value === undefined) throw new Error(`no value for ${path}`);
+  else if (operation.value === undefined) throw createPatchFailure(`no value for ${path}`);
   else setOwn(entries, name, operation.value);
 }
 
@@ -213,7 +214,8 @@
   tokens: readonly string[],
   operation: DocumentOperation,
 ): unknown {
-  if (operation.op === 'move' || operation.op === 'copy') throw new Error(`has ${operation.op}`);
+  if (operation.op === 'move' || operation.op === 'copy')
+    throw createPatchFailure(`has ${operation.op}`);
   const copy = structuredClone(value);
   const path = tokens.map(formatToken).join('');
   const [fault] = applyPatch(copy, [{ ...operation, path }]);
@@ -255,3 +257,7 @@
     .slice(1)
     .map((token) => token.replaceAll('~1', '/').replaceAll('~0', '~'));
 }
+
+function createPatchFailure(message: string): FailureError {
+  return new FailureError({ kind: 'PatchInvalid', message });
+}
