--- a/packages/relay/src/CactusdealRelayBalancer.ts
+++ b/packages/relay/src/CactusdealRelayBalancer.ts
@@ -84,7 +84,7 @@
 const RESERVED_SERVICE_TIMES = 0.8;
 /**
  * Fraction of the mean utilization towards which old loads move when gates are ranked; below 1, so that a gate
- * of which nothing was heard for long is tried again.
+ * that has not reported for long is tried again.
  */
 const TREND_FRACTION = 0.5;
 /** Weight of the failure rate in the expected answer time. */
@@ -97,7 +97,7 @@
 export const WARM_UP_FACTOR = 2;
 /**
  * Weight of the expected utilization in the ranking, as a multiple of the service time: the load of a gate
- * with few free slots is the likeliest to have risen since the last news.
+ * with few free slots is the likeliest to have risen since the last report.
  */
 const UTILIZATION_WEIGHT = 0.8;
 /**
@@ -118,8 +118,8 @@
  * Load pattern: uneven load between data centres that are joined by expensive links. A local gate is
  * chosen if its answer is expected within the latency target; a remote one only if its answer is
  * expected sooner and within the target. Among gates on the same side the lowest expected answer time
- * wins, where free slots count too. Under overload, a gate that has just refused a similar call is skipped, as it would refuse
- * this one too.
+ * wins, where free slots count too. Under overload, a gate that has just refused a similar call is
+ * skipped, as it would refuse this one too.
  */
 export function chooseGate(input: ChoiceInput, pickCandidates = pickFew): Choice {
   const local = findFastest(true, input, pickCandidates);
--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -11,10 +11,10 @@
 import { createReaderRoles, ReaderRole, type ReaderRoles } from './CactusdealRelayReaderRole.js';
 import { buildRouteTable, type RouteTable } from './CactusdealRelayRoutes.js';
 import {
-  EraOrigin,
-  isPositionUsable,
   checkReading,
   chooseWatch,
+  EraOrigin,
+  isPositionUsable,
   NO_ERA,
   ReadingVerdict,
   type StoreEra,
@@ -74,11 +74,11 @@
 /** Longest wait of one watch request; bounds the time in which a connection may go silent. */
 const WATCH_MS = 2_500;
 /**
- * The same at a store that may be restored: two watches may pass until that shows, one on a connection from
- * before and one from a revision that was assigned again. New versions have to be in force after 4 s.
+ * The same at a store that may be restored: a restore may be detected only after two watches, one on a
+ * connection from before it and one from a revision that was assigned again. New versions have to be in force after 4 s.
  */
 const RESTORABLE_WATCH_MS = 1_500;
-/** Wait of a watch that only asks for the era. */
+/** Wait of a watch that only reads the era. */
 const CHECK_WATCH_MS = 50;
 /** The same for a standby, which becomes the primary as soon as that one fails. */
 const STANDBY_WATCH_MS = 25_000;
--- a/packages/relay/src/CactusdealRelayEntry.ts
+++ b/packages/relay/src/CactusdealRelayEntry.ts
@@ -3,33 +3,31 @@
 import {
   BodyFailureKind,
   type ByteBudget,
-  createByteBudget,
   type ChunkPacer,
   type Clock,
+  createByteBudget,
   type DeferredTasks,
   type Log,
   parseAddress,
 } from '@cactusdeal/shared';
 import { type ReadBody, readBody } from './CactusdealRelayBody.js';
-import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
-import { type BodyRoom, createBodyRoom } from './CactusdealRelayBodyRoom.js';
+import {
+  type BodyReservations,
+  createBodyReservations,
+} from './CactusdealRelayBodyReservations.js';
 import {
   type CallerRequests,
   createCallerRequests,
   MAX_DEADLINE_MS,
 } from './CactusdealRelayCallerRequest.js';
+import { type Caller, type Callers, createCallers } from './CactusdealRelayCallers.js';
 import { createDeadlines, type Deadlines } from './CactusdealRelayDeadlines.js';
 import { findField } from './CactusdealRelayHeaders.js';
 import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 import { checkApiKey, computeRank } from './CactusdealRelayOrganisations.js';
 import type { QuotaLimiter } from './CactusdealRelayQuotas.js';
 import { createResponder, type Responder } from './CactusdealRelayResponder.js';
-import {
-  type CallIdentity,
-  createUnservedCalls,
-  type UnservedCalls,
-} from './CactusdealRelayUnservedCalls.js';
-import type { RoutedEnd, RunningCall, Router } from './CactusdealRelayRouter.js';
+import type { RoutedEnd, Router, RunningCall } from './CactusdealRelayRouter.js';
 import type { CompiledRoute, RouteTable } from './CactusdealRelayRoutes.js';
 import {
   type CallerLimits,
@@ -39,6 +37,11 @@
   type OrganisationRule,
   UnknownReason,
 } from './CactusdealRelayTypes.js';
+import {
+  type CallIdentity,
+  createUnservedCalls,
+  type UnservedCalls,
+} from './CactusdealRelayUnservedCalls.js';
 
 /** HTTP server for the callers on this host, which include the upstream. */
 export interface Entry {
@@ -155,7 +158,7 @@
 
   private readonly heldBytes: ByteBudget;
 
-  private readonly bodyRoom: BodyRoom;
+  private readonly bodyReservations: BodyReservations;
 
   private readonly deadlines: Deadlines;
 
@@ -174,7 +177,11 @@
     this.requests = createCallerRequests(names, options.callerService);
     this.deadlines = createDeadlines(clock);
     this.heldBytes = options.callerBytes ?? createMemoryBudgets().callers;
-    this.bodyRoom = createBodyRoom(this.heldBytes, options.clock, options.recordEviction);
+    this.bodyReservations = createBodyReservations(
+      this.heldBytes,
+      options.clock,
+      options.recordEviction,
+    );
     this.responder = createResponder({ names, log, getVersion: () => getRoutes()?.version });
     this.server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
@@ -233,7 +240,7 @@
       return {
         maxBytes: this.maxBodyBytes,
         ...(isKept
-          ? { enterRoom: (refuse: () => void) => this.bodyRoom.enter(refuse) }
+          ? { reserveBody: (refuse: () => void) => this.bodyReservations.reserve(refuse) }
           : { budget: NO_BYTES }),
         reservedBytes: isKept ? RESERVED_BYTES : 0,
         pacer: this.options.pacer,
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -33,13 +33,13 @@
   type Upstream,
 } from './CactusdealRelayTypes.js';
 import type { UplinkAdmission } from './CactusdealRelayUplinkAdmission.js';
-import { createUpstreamLimit, type UpstreamLimit } from './CactusdealRelayUpstreamLimit.js';
-import { hasLeavingSignal, readLimit } from './CactusdealRelayUpstreamSignals.js';
 import {
   createUpstreamPool,
   type UpstreamEnd,
   type UpstreamPool,
 } from './CactusdealRelayUpstream.js';
+import { createUpstreamLimit, type UpstreamLimit } from './CactusdealRelayUpstreamLimit.js';
+import { hasLeavingSignal, readLimit } from './CactusdealRelayUpstreamSignals.js';
 import { createWarmUpTimes } from './CactusdealRelayWarmUp.js';
 
 /** Admission control in front of the upstream on this host; forwards the admitted calls to it. */
--- a/packages/relay/src/CactusdealRelayGateReport.ts
+++ b/packages/relay/src/CactusdealRelayGateReport.ts
@@ -42,11 +42,11 @@
 /** Change of the failure rate that is reported whatever the load is. */
 const MIN_REPORTED_FAILURE_CHANGE = 0.2;
 
-/** Whether a gate tells the daemons of its data centre its state, after what it told them last. */
+/** Whether a gate reports to the daemons of its data centre, given the load that it reported last. */
 export function isReportDue(
   { capacity, load, failureRate }: GateReport,
-  told: Pick<GateReport, 'load' | 'failureRate'>,
+  lastReported: Pick<GateReport, 'load' | 'failureRate'>,
 ): boolean {
-  if (Math.abs(failureRate - told.failureRate) >= MIN_REPORTED_FAILURE_CHANGE) return true;
-  return Math.max(load, told.load) > capacity * MIN_REPORTED_LOAD_FRACTION;
+  if (Math.abs(failureRate - lastReported.failureRate) >= MIN_REPORTED_FAILURE_CHANGE) return true;
+  return Math.max(load, lastReported.load) > capacity * MIN_REPORTED_LOAD_FRACTION;
 }
--- a/packages/relay/src/CactusdealRelayKnownGate.ts
+++ b/packages/relay/src/CactusdealRelayKnownGate.ts
@@ -7,7 +7,7 @@
 export interface KnownGate {
   receiveReport(report: GateReport): void;
   /** Handles the gate's load and failure rate, which came with the end of a call. */
-  receiveNews(news: GateNews): void;
+  receiveLoad(load: GateLoad): void;
   /** Records that a call was sent to the gate. */
   recordSent(): void;
   /** Records the end of a call after `elapsedMs`. */
@@ -18,12 +18,12 @@
   getService(): string | undefined;
   /** The gate as input to the choice for a call; undefined until a report arrives. */
   getView(call: ComparedCall, avoidedUntilMs: number): GateView | undefined;
-  /** Discards what the gate has told; the observed latency stays. */
+  /** Discards what the gate has reported; the observed latency stays. */
   forget(): void;
 }
 
-/** What the end of a call tells about its gate. */
-export type GateNews = Pick<GateReport, 'load' | 'failureRate'>;
+/** What the end of a call reports of its gate. */
+export type GateLoad = Pick<GateReport, 'load' | 'failureRate'>;
 
 /** A call for which gates are compared. */
 export interface ComparedCall {
@@ -49,7 +49,7 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
-/** Creates the record of a gate from which nothing was heard. */
+/** Creates the record of a gate that has not reported yet. */
 export function createKnownGate(memberId: string, clock: Clock): KnownGate {
   const latency = createGateLatency(clock);
   /** The gate's last refusal because it was busy, by what refused calls have in common. */
@@ -64,8 +64,8 @@
       warmUntilMs = clock() + (next.warmUpLeftMs ?? 0);
       setReport(next);
     },
-    receiveNews: (news) => {
-      if (report !== undefined) setReport({ ...report, ...news });
+    receiveLoad: (load) => {
+      if (report !== undefined) setReport({ ...report, ...load });
     },
     recordSent: () => {
       unreportedCalls += 1;
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -105,13 +105,13 @@
   readonly writer: LinkWriter;
   readonly activeCalls: Map<number, Attempt>;
   readonly heldCalls: HeldCalls;
-  /** The other daemon; undefined until it has said who it is. */
+  /** The other daemon; undefined until it has identified itself. */
   member: Member | undefined;
   /** Bodies of calls that are arriving in pieces. */
   readonly callBodies: CallBodies;
   isLocal: boolean;
-  /** What the other daemon last heard of the gate's state over this link. */
-  told: Pick<GateReport, 'load' | 'failureRate'>;
+  /** State of the gate that was last reported over this link. */
+  lastReported: Pick<GateReport, 'load' | 'failureRate'>;
 }
 
 /** Ticks between load reports within the data centre. */
@@ -163,8 +163,8 @@
    */
   function pushLoadReports(): void {
     const report = options.gate.getReport();
-    const isDue = ({ isLocal, told }: AcceptedLink): boolean =>
-      isLocal && isReportDue(report, told);
+    const isDue = ({ isLocal, lastReported }: AcceptedLink): boolean =>
+      isLocal && isReportDue(report, lastReported);
     if ([...links].some(isDue)) pushReport(isDue);
   }
 
@@ -174,7 +174,7 @@
     links.forEach((acceptedLink) => {
       const link = acceptedLink;
       if (!accept(link)) return;
-      link.told = report;
+      link.lastReported = report;
       link.socket.write(frame);
     });
   }
@@ -206,7 +206,7 @@
     member: undefined,
     callBodies: createCallBodies(options.linkBytes),
     isLocal: false,
-    told: { load: 0, failureRate: 0 },
+    lastReported: { load: 0, failureRate: 0 },
   };
   links.add(link);
   const reader = createMessageReader(
@@ -353,7 +353,7 @@
     link.activeCalls.delete(id);
     linkBytes.release(heldBytes);
     const report = gate.getReport();
-    link.told = report;
+    link.lastReported = report;
     writeEnd(link, id, end, report, targetAtMs);
   });
 }
--- a/packages/relay/src/CactusdealRelayMembers.ts
+++ b/packages/relay/src/CactusdealRelayMembers.ts
@@ -4,13 +4,13 @@
 import { createPeer, type Peer, SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
 import { MAX_REMOVED_MEMBERS } from './CactusdealRelayPorts.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
+import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import type {
   CrashNoticeExchange,
   DepartureExchange,
   LimitExchange,
   Member,
 } from './CactusdealRelayTypes.js';
-import type { RolloutExchange } from './CactusdealRelayRollouts.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import type { Status } from './CactusdealRelayWire.js';
 
--- a/packages/relay/src/CactusdealRelayOrganisationUsage.ts
+++ b/packages/relay/src/CactusdealRelayOrganisationUsage.ts
@@ -33,7 +33,7 @@
 const DECAY_MS = 600;
 /** Organisations kept; beyond it those whose use has decayed are dropped. */
 const MAX_ORGANISATIONS = 1_000;
-/** Bands beyond it are not told apart. */
+/** Higher bands are counted as this one. */
 const MAX_BAND = 31;
 /** Work below which an organisation counts as idle, in milliseconds. */
 const IDLE_WORK_MS = 0.1;
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -34,7 +34,7 @@
   parseDeparture,
   parseEnd,
   parseHello,
-  parseNews,
+  parseGateLoad,
   parsePiece,
   parseReport,
   parseStatus,
@@ -52,7 +52,7 @@
 export interface Peer {
   readonly member: Member;
   isConnected(): boolean;
-  /** Whether the link is open and the daemon has said who it is. */
+  /** Whether the link is open and the daemon has identified itself. */
   isReachable(): boolean;
   /** Whether there is a link, or connecting has not failed for long. */
   isUsable(): boolean;
@@ -91,11 +91,11 @@
    */
   requestConfiguration(version: number): void;
   /** Writes an encoded message of the quotas. */
-  tellQuota(frame: Buffer): void;
+  sendQuota(frame: Buffer): void;
   /** Tells the daemon of calls that crashed upstreams. */
   tellCrashes(notices: readonly CrashNotice[]): void;
   /** Sends a message of another part of the daemon, unless there is no link. */
-  tell(message: Message): void;
+  sendMessage(message: Message): void;
   /**
    * Gives up the idempotent calls of a silent link, and closes it once no call waits on it; called
    * every `SILENCE_CHECK_MS` while calls wait.
@@ -325,7 +325,7 @@
       }
       case MessageKind.QuotaState:
       case MessageKind.QuotaSummary:
-        this.options.receiveQuota?.(this.member, message, (frame) => this.tellQuota(frame));
+        this.options.receiveQuota?.(this.member, message, (frame) => this.sendQuota(frame));
         break;
       case MessageKind.Crashes:
         this.options.receiveCrashNotices(parseCrashes(message));
@@ -369,7 +369,7 @@
 
   private receiveEnd(message: Message): void {
     const id = message[1] as number;
-    this.gate.receiveNews(parseNews(message));
+    this.gate.receiveLoad(parseGateLoad(message));
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
     const end = addPieces(parseEnd(message), pending.pieces);
@@ -458,7 +458,7 @@
     this.link.write([MessageKind.ConfigurationRequest, version]);
   }
 
-  public tellQuota(frame: Buffer): void {
+  public sendQuota(frame: Buffer): void {
     this.link.writeFrame(frame);
   }
 
@@ -466,7 +466,7 @@
     if (notices.length > 0) this.link.write(toCrashesMessage(notices));
   }
 
-  public tell(message: Message): void {
+  public sendMessage(message: Message): void {
     this.link.write(message);
   }
 
--- a/packages/relay/src/CactusdealRelayQuotaBucket.ts
+++ b/packages/relay/src/CactusdealRelayQuotaBucket.ts
@@ -1,12 +1,12 @@
-import type { OrganisationRule } from './CactusdealRelayTypes.js';
 import type { QuotaCount, QuotaThrottle } from './CactusdealRelayQuotaWire.js';
+import type { OrganisationRule } from './CactusdealRelayTypes.js';
 
 /** A coordinator's view of one organisation's quota over all daemons. Times in milliseconds. */
 export interface QuotaBucket {
   setRule(rule: QuotaRule, nowMs: number): void;
   /**
    * Sets which part of all hosts the counts come from, 0 to 1. The others count as using their share of
-   * rate and burst, and give the share of the burst back when they are heard again.
+   * rate and burst, and give the share of the burst back when they report again.
    */
   setCoverage(coverage: number, nowMs: number): void;
   record(count: Pick<QuotaCount, 'arrivals' | 'admitted'>, nowMs: number): void;
--- a/packages/relay/src/CactusdealRelayQuotaCoordinator.ts
+++ b/packages/relay/src/CactusdealRelayQuotaCoordinator.ts
@@ -1,4 +1,3 @@
-import type { OrganisationRule } from './CactusdealRelayTypes.js';
 import { createQuotaBucket, type QuotaBucket } from './CactusdealRelayQuotaBucket.js';
 import type {
   NamedThrottle,
@@ -7,6 +6,7 @@
   QuotaSummary,
   QuotaUsage,
 } from './CactusdealRelayQuotaWire.js';
+import type { OrganisationRule } from './CactusdealRelayTypes.js';
 
 /** Keeps the buckets of all organisations for the entries that report to this daemon. */
 export interface QuotaCoordinator {
@@ -20,15 +20,18 @@
   listThrottles(): readonly NamedThrottle[];
   /** Takes the counts since the last summary. */
   takeSummary(nowMs: number): QuotaSummary;
-  /** Whether a host other than this one is heard, directly or through another coordinator. */
-  hearsOthers(nowMs: number): boolean;
+  /** Whether hosts other than this one report, directly or through another coordinator. */
+  hasOtherHosts(nowMs: number): boolean;
 }
 
 /** Silence after which an entry, which reports once a second at least, counts as isolated. */
 const ENTRY_SILENCE_MS = 1_750;
 /** Silence after which another coordinator, and with it its hosts, counts as cut off. */
 const COORDINATOR_SILENCE_MS = 600;
-/** Time after the start, and after the first report of another host, in which all hosts count as heard, as each needs time to report. */
+/**
+ * Time after the start, and after the first report of another host, in which all hosts count as reporting: each
+ * needs this time to report.
+ */
 const START_MS = 1_500;
 /**
  * Part of the burst with which buckets start beside a daemon that has just started. All may have been
@@ -45,8 +48,8 @@
  * Creates the coordinator's part of a daemon.
  *
  * Load pattern: a data centre is cut off, hosts or coordinators end, while organisations go on. Hosts
- * that are not heard count as using their share of each quota, so that both sides of a partition add up
- * to the quota; which side a daemon is on follows from the number of hosts that it hears.
+ * that do not report count as using their share of each quota, so that both sides of a partition add up
+ * to the quota; which side a daemon is on follows from the number of hosts that report.
  */
 export function createQuotaCoordinator(selfId: string): QuotaCoordinator {
   return new BucketCoordinator(selfId);
@@ -137,9 +140,9 @@
   }
 
   private computeCoverage(hosts: number, nowMs: number): number {
-    const heard = this.countReporters(nowMs) + this.countOthers(nowMs);
-    if (nowMs - this.startedAtMs < START_MS || heard >= hosts) return 1;
-    return Math.max(1, heard) / hosts;
+    const reporting = this.countReporters(nowMs) + this.countOthers(nowMs);
+    if (nowMs - this.startedAtMs < START_MS || reporting >= hosts) return 1;
+    return Math.max(1, reporting) / hosts;
   }
 
   private countReporters(nowMs: number): number {
@@ -182,7 +185,7 @@
     return { hosts: this.countReporters(nowMs), sums };
   }
 
-  public hearsOthers(nowMs: number): boolean {
+  public hasOtherHosts(nowMs: number): boolean {
     return this.countOtherReporters(nowMs) + this.countOthers(nowMs) > 0;
   }
 }
--- a/packages/relay/src/CactusdealRelayQuotaExchange.ts
+++ b/packages/relay/src/CactusdealRelayQuotaExchange.ts
@@ -23,10 +23,10 @@
 /** A daemon to which this one has opened a link. */
 export interface QuotaPeer {
   readonly member: Member;
-  /** Whether the link is open and the daemon has said who it is. */
+  /** Whether the link is open and the daemon has identified itself. */
   isReachable(): boolean;
   /** Writes an encoded message. */
-  tellQuota(frame: Buffer): void;
+  sendQuota(frame: Buffer): void;
 }
 
 /** Writes an encoded message to the daemon that sent one; does nothing once the link is lost. */
@@ -80,21 +80,21 @@
 /** Time without a coordinator after which an entry is isolated. */
 const ISOLATED_AFTER_MS = 1_500;
 /**
- * Time after its start in which a coordinator tells entries nothing: after a restart of all daemons in a
+ * Time after its start in which a coordinator sends entries no state: after a restart of all daemons in a
  * surge, entries are isolated until it has counted for some time.
  */
 const START_MS = 800;
 /** Ticks come a little early or late. */
 const TICK_TOLERANCE_MS = 50;
-/** Daemons of another data centre that are told while none of it has sent a summary. */
+/** Daemons of another data centre that get summaries while none of them has sent one. */
 const FIRST_TARGETS = 2;
 
 /** A daemon that has sent reports or summaries lately. */
-interface Correspondent {
+interface QuotaSender {
   readonly member: Member;
   reply: QuotaReply;
-  heardAtMs: number;
-  toldAtMs: number;
+  receivedAtMs: number;
+  stateSentAtMs: number;
 }
 
 export function createQuotaExchange(options: QuotaExchangeOptions): QuotaExchange {
@@ -115,9 +115,9 @@
   /** Daemons that did not respond as coordinators, until they do or their links are lost. */
   private readonly suspects = new Set<string>();
 
-  private readonly entries = new Map<string, Correspondent>();
+  private readonly entries = new Map<string, QuotaSender>();
 
-  private readonly coordinators = new Map<string, Correspondent>();
+  private readonly coordinators = new Map<string, QuotaSender>();
 
   private throttledNames = '';
 
@@ -126,7 +126,7 @@
   /** When the first rules were applied. */
   private startedAtMs = Infinity;
 
-  /** Time without a coordinator while this daemon ran; a pause of its own says nothing of others. */
+  /** Time without a coordinator; pauses of this process do not count. */
   private silentMs = ISOLATED_AFTER_MS;
 
   private isIsolated = true;
@@ -155,7 +155,7 @@
     this.silentMs += Math.min(QUOTA_TICK_MS, nowMs - this.tickedAtMs);
     this.tickedAtMs = nowMs;
     this.chooseCoordinator(nowMs);
-    this.hearSelf(nowMs);
+    this.recordOwnCoordination(nowMs);
     this.setIsolation();
     this.report(nowMs);
     if (this.isCoordinating()) this.coordinate(nowMs, false);
@@ -204,10 +204,10 @@
   }
 
   /** A coordinator alone among known hosts is cut off, and limits as an isolated entry does. */
-  private hearSelf(nowMs: number): void {
+  private recordOwnCoordination(nowMs: number): void {
     const { self, countHosts } = this.options;
     if (this.coordinatorId !== self.id || this.isStarting(nowMs)) return;
-    if (countHosts() <= 1 || this.coordinator.hearsOthers(nowMs)) this.silentMs = 0;
+    if (countHosts() <= 1 || this.coordinator.hasOtherHosts(nowMs)) this.silentMs = 0;
   }
 
   private isStarting(nowMs: number): boolean {
@@ -239,7 +239,7 @@
       return;
     }
     const peer = listPeers().find(({ member }) => member.id === this.coordinatorId);
-    peer?.tellQuota(encodeMessage(toUsageMessage(usages)));
+    peer?.sendQuota(encodeMessage(toUsageMessage(usages)));
   }
 
   public receive(from: Member, message: Message, reply: QuotaReply): void {
@@ -247,20 +247,20 @@
     this.applyRules(nowMs);
     if (message[0] === MessageKind.QuotaUsage) {
       const isNew = !this.entries.has(from.id);
-      recordHeard(this.entries, from, reply, nowMs);
+      recordSender(this.entries, from, reply, nowMs);
       const isUrgent = this.coordinator.receiveUsage(from.id, parseUsage(message), nowMs);
       if (isNew && !this.isStarting(nowMs))
         reply(encodeMessage(toStateMessage(this.coordinator.listThrottles())));
       if (isUrgent) this.options.wake();
     } else if (message[0] === MessageKind.QuotaSummary) {
-      recordHeard(this.coordinators, from, reply, nowMs);
+      recordSender(this.coordinators, from, reply, nowMs);
       this.coordinator.receiveSummary(from.id, parseSummary(message), nowMs);
     } else if (message[0] === MessageKind.QuotaState) {
       this.receiveState(from, parseState(message));
     }
   }
 
-  /** A state of another daemon than the chosen one is late, or that one responds again. */
+  /** Ignores the state of a daemon that is not the chosen coordinator; it is no longer suspected. */
   private receiveState(from: Member, throttles: readonly NamedThrottle[]): void {
     this.suspects.delete(from.id);
     if (from.id !== this.coordinatorId) return;
@@ -299,12 +299,12 @@
     const intervalMs = throttles.length > 0 || hasChanged ? 0 : KEEP_ALIVE_MS;
     let frame: Buffer | undefined;
     this.entries.forEach((entry, id) => {
-      const correspondent = entry;
-      if (nowMs - correspondent.heardAtMs > 2 * KEEP_ALIVE_MS) this.entries.delete(id);
-      else if (nowMs - correspondent.toldAtMs >= intervalMs - TICK_TOLERANCE_MS) {
+      const sender = entry;
+      if (nowMs - sender.receivedAtMs > 2 * KEEP_ALIVE_MS) this.entries.delete(id);
+      else if (nowMs - sender.stateSentAtMs >= intervalMs - TICK_TOLERANCE_MS) {
         frame ??= encodeMessage(toStateMessage(throttles));
-        correspondent.toldAtMs = nowMs;
-        correspondent.reply(frame);
+        sender.stateSentAtMs = nowMs;
+        sender.reply(frame);
       }
     });
   }
@@ -318,26 +318,28 @@
     targets.forEach((reply) => reply(frame));
   }
 
-  /** Coordinators that were heard lately and, of data centres without one, the lowest ids. */
+  /** Coordinators that sent a summary recently and, of data centres without one, the lowest ids. */
   private listSummaryTargets(nowMs: number): readonly QuotaReply[] {
     const { self, listPeers } = this.options;
-    this.coordinators.forEach(({ heardAtMs }, id) => {
-      if (nowMs - heardAtMs > KEEP_ALIVE_MS) this.coordinators.delete(id);
+    this.coordinators.forEach(({ receivedAtMs }, id) => {
+      if (nowMs - receivedAtMs > KEEP_ALIVE_MS) this.coordinators.delete(id);
     });
-    const heard = [...this.coordinators.values()];
-    const heardDataCentres = new Set(heard.map(({ member }) => member.dataCentre));
-    const unheard = listPeers()
+    const active = [...this.coordinators.values()];
+    const activeDataCentres = new Set(active.map(({ member }) => member.dataCentre));
+    const inactive = listPeers()
       .filter((peer) => peer.isReachable() && !this.coordinators.has(peer.member.id))
       .sort((left, right) => (left.member.id < right.member.id ? -1 : 1));
-    const remote = groupByDataCentre(unheard)
-      .filter(([dataCentre]) => dataCentre !== self.dataCentre && !heardDataCentres.has(dataCentre))
+    const remote = groupByDataCentre(inactive)
+      .filter(
+        ([dataCentre]) => dataCentre !== self.dataCentre && !activeDataCentres.has(dataCentre),
+      )
       .flatMap(([, peers]) => peers.slice(0, FIRST_TARGETS));
-    const local = unheard.filter(
+    const local = inactive.filter(
       ({ member }) => member.id === this.coordinatorId && member.id !== self.id,
     );
     return [
-      ...heard.map(({ reply }) => reply),
-      ...[...remote, ...local].map((peer) => (frame: Buffer) => peer.tellQuota(frame)),
+      ...active.map(({ reply }) => reply),
+      ...[...remote, ...local].map((peer) => (frame: Buffer) => peer.sendQuota(frame)),
     ];
   }
 
@@ -362,17 +364,17 @@
   return [...groups];
 }
 
-function recordHeard(
-  correspondents: Map<string, Correspondent>,
+function recordSender(
+  senders: Map<string, QuotaSender>,
   member: Member,
   reply: QuotaReply,
   nowMs: number,
 ): void {
-  const known = correspondents.get(member.id);
+  const known = senders.get(member.id);
   if (known === undefined) {
-    correspondents.set(member.id, { member, reply, heardAtMs: nowMs, toldAtMs: -Infinity });
+    senders.set(member.id, { member, reply, receivedAtMs: nowMs, stateSentAtMs: -Infinity });
     return;
   }
   known.reply = reply;
-  known.heardAtMs = nowMs;
+  known.receivedAtMs = nowMs;
 }
--- a/packages/relay/src/CactusdealRelayQuotaLimiter.ts
+++ b/packages/relay/src/CactusdealRelayQuotaLimiter.ts
@@ -1,6 +1,6 @@
 import type { Random } from '@cactusdeal/shared';
-import type { OrganisationRule } from './CactusdealRelayTypes.js';
 import type { NamedThrottle, QuotaThrottle, QuotaUsage } from './CactusdealRelayQuotaWire.js';
+import type { OrganisationRule } from './CactusdealRelayTypes.js';
 
 /** Whether a call of an organisation is within its quota. */
 export interface QuotaDecision {
@@ -16,7 +16,7 @@
   release(name: string): void;
   /** Applies the complete list of throttled organisations. */
   setThrottles(throttles: readonly NamedThrottle[]): void;
-  /** Sets whether no coordinator is heard, and among how many hosts the quotas are divided then. */
+  /** Sets whether no coordinator responds, and among how many hosts the quotas are divided then. */
   setIsolation(isIsolated: boolean, hosts: number): void;
   /** Whether an organisation's calls should be reported before the interval ends. */
   hasSurge(): boolean;
@@ -26,7 +26,7 @@
   discardUsage(nowMs: number): void;
   /** Forgets organisations that the configuration no longer has. */
   retain(names: ReadonlySet<string>): void;
-  /** Lists the names of the throttled organisations. */
+  /** Lists the throttled organisations. */
   listThrottles(): readonly NamedThrottle[];
 }
 
@@ -60,7 +60,7 @@
 }
 
 /**
- * Creates the limiter of an entry, isolated until a coordinator is heard.
+ * Creates the limiter of an entry, isolated until a coordinator responds.
  *
  * Load pattern: most organisations send less than one call a second to an entry. A share of the quota
  * for each entry would refuse calls within it, so that all calls are admitted while the organisation as
@@ -119,10 +119,10 @@
   ): QuotaDecision | undefined {
     const state = organisationState;
     const share = callsPerSecond / this.hosts;
-    const most = Math.max(1, burst / this.hosts);
+    const capacity = Math.max(1, burst / this.hosts);
     const elapsedMs = nowMs - state.tokensAtMs;
-    const refilled = (state.tokens ?? most) + (share * elapsedMs) / MS_PER_SECOND;
-    state.tokens = Math.min(most, refilled);
+    const refilled = (state.tokens ?? capacity) + (share * elapsedMs) / MS_PER_SECOND;
+    state.tokens = Math.min(capacity, refilled);
     state.tokensAtMs = nowMs;
     if (state.tokens < 1) {
       const baseMs = ((1 - state.tokens) * MS_PER_SECOND) / share;
--- a/packages/relay/src/CactusdealRelayQuotaWire.ts
+++ b/packages/relay/src/CactusdealRelayQuotaWire.ts
@@ -8,7 +8,7 @@
   readonly admitted: number;
 }
 
-/** What entries know of a throttled organisation. */
+/** The throttling of an organisation. */
 export interface QuotaThrottle {
   /** Fraction of its calls that entries admit, 0 to 1. */
   readonly fraction: number;
@@ -33,7 +33,7 @@
   readonly level: number;
 }
 
-/** What a coordinator tells other coordinators. */
+/** What a coordinator sends to other coordinators. */
 export interface QuotaSummary {
   /** Number of hosts that report to the coordinator. */
   readonly hosts: number;
@@ -51,7 +51,7 @@
   return [MessageKind.QuotaUsage, ...rows];
 }
 
-/** Decodes an entry's report; leaves out what is no valid row. */
+/** Decodes an entry's report; leaves out invalid rows. */
 export function parseUsage(message: Message): readonly QuotaUsage[] {
   return parseRows(message, 1, (row) => {
     const count = parseCount(row);
@@ -66,7 +66,7 @@
   ];
 }
 
-/** Decodes the throttled organisations; leaves out what is no valid row. */
+/** Decodes the throttled organisations; leaves out invalid rows. */
 export function parseState(message: Message): readonly NamedThrottle[] {
   return parseRows(message, 1, (row) => {
     const name = row[0];
@@ -85,7 +85,7 @@
   return [MessageKind.QuotaSummary, hosts, ...rows];
 }
 
-/** Decodes a summary; leaves out what is no valid row. */
+/** Decodes a summary; leaves out invalid rows. */
 export function parseSummary(message: Message): QuotaSummary {
   const hosts = message[1];
   const sums = parseRows(message, 2, (row) => {
--- a/packages/relay/src/CactusdealRelayReaderRole.ts
+++ b/packages/relay/src/CactusdealRelayReaderRole.ts
@@ -33,8 +33,8 @@
 /** Age of a reader's last successful read beyond which it no longer counts as a reader. */
 const STALE_READER_MS = 3_600;
 /**
- * Longest time for which a daemon leaves it unnoticed that it has to become a reader because what others
- * said is too old.
+ * Longest time in which a daemon detects that it has to become a reader because the statuses of the readers
+ * are too old.
  */
 const ROLE_CHECK_MS = 250;
 
--- a/packages/relay/src/CactusdealRelayRegistration.ts
+++ b/packages/relay/src/CactusdealRelayRegistration.ts
@@ -38,7 +38,7 @@
  * together with this one.
  */
 const EARLY_LIST_PAUSE_MS = 2_000;
-/** Mean time between other lists; `run` adds jitter. Links bring the news that is urgent. */
+/** Mean time between other lists; `run` adds jitter. Urgent changes arrive over links. */
 const LIST_INTERVAL_MS = 30_000;
 /**
  * Pause of a daemon without any link, if the store may come back from an old copy: the list may have been
--- a/packages/relay/src/CactusdealRelayRolloutCoordinator.ts
+++ b/packages/relay/src/CactusdealRelayRolloutCoordinator.ts
@@ -4,9 +4,9 @@
 import { type CountRow, mergeRows, type RolloutCounts } from './CactusdealRelayRolloutCounts.js';
 import {
   compareVersions,
+  computeDecision,
   countTargetResponses,
   type DataCentreCounts,
-  computeDecision,
   RolloutDecision,
 } from './CactusdealRelayRolloutDecision.js';
 import { isLeader, listLeaders } from './CactusdealRelayRolloutLeaders.js';
@@ -78,7 +78,7 @@
     if (memberId !== undefined) gates.set(memberId, received);
     else if (dataCentre !== self.dataCentre) sums.set(dataCentre, received);
     if (memberId !== undefined || isLocal) return;
-    listLeaders(self, listPeers(), COUNTS_RECEIVERS).forEach((peer) => peer?.tell(message));
+    listLeaders(self, listPeers(), COUNTS_RECEIVERS).forEach((peer) => peer?.sendMessage(message));
   }
 
   function getCollected(service: string, targetVersion: string): Collected {
@@ -113,7 +113,7 @@
     const message = toCountsMessage({ service, targetVersion, memberId, dataCentre, rows });
     listLeaders(self, listPeers(), COUNTS_RECEIVERS).forEach((peer) => {
       if (peer === undefined) collected.gates.set(memberId, { rows, atMs: nowMs });
-      else peer.tell(message);
+      else peer.sendMessage(message);
     });
   }
 
@@ -127,7 +127,7 @@
     const rows = mergeGates(collected);
     const sum = { service, targetVersion, memberId: undefined, dataCentre, rows };
     const message = toCountsMessage(sum);
-    listRemoteReceivers(collected.sumsSent).forEach((peer) => peer.tell(message));
+    listRemoteReceivers(collected.sumsSent).forEach((peer) => peer.sendMessage(message));
     collected.sumsSent += 1;
   }
 
@@ -184,7 +184,7 @@
     return [{ dataCentre: self.dataCentre, rows: mergeGates(collected) }, ...others];
   }
 
-  /** Whether another data centre with gates of the service has not been heard of lately. */
+  /** Whether another data centre with gates of the service has sent no counts recently. */
   function hasSilentDataCentre(service: string, { sums }: Collected, nowMs: number): boolean {
     return listPeers().some(({ member }) => {
       if (member.service !== service || member.dataCentre === self.dataCentre) return false;
--- a/packages/relay/src/CactusdealRelayRolloutCounts.ts
+++ b/packages/relay/src/CactusdealRelayRolloutCounts.ts
@@ -3,7 +3,7 @@
 import type { GateCall, HeaderNames, Upstream } from './CactusdealRelayTypes.js';
 import type { UpstreamEnd } from './CactusdealRelayUpstream.js';
 
-/** What upstreams of a version answered to one kind of call. */
+/** Responses of upstreams of a version to one kind of call. */
 export interface ResponseCounts {
   readonly responses: number;
   readonly failures: number;
@@ -51,9 +51,9 @@
   readonly getTarget: (service: string) => string | undefined;
 }
 
-/** Routes of one kind are told apart by a hash of the first segment of the path, into this many. */
+/** Routes of one kind are distinguished by a hash of the first segment of the path, into this many. */
 const PATHS_PER_KIND = 8;
-/** Groups of the target's gates, so that a fault of one gate is told from one of the version. */
+/** Groups of the target's gates, so that a fault of one gate is distinguished from one of the version. */
 const GATE_GROUPS = 4;
 /** An upstream that has just started is slow; its service times do not count. */
 const WARM_UP_MS = 3_000;
--- a/packages/relay/src/CactusdealRelayRolloutDecision.ts
+++ b/packages/relay/src/CactusdealRelayRolloutDecision.ts
@@ -6,7 +6,7 @@
   readonly rows: readonly CountRow[];
 }
 
-/** What speaks against the target version. */
+/** Evidence that the target version is bad. */
 interface Fault {
   readonly type: 'bad';
   readonly fault: 'failures' | 'slowness';
@@ -44,7 +44,7 @@
 const MAX_BAD_RESPONSES = 25;
 /** Responses of the other versions below which they say too little on their own. */
 const MIN_BASE_RESPONSES = 20;
-/** How much must speak against the target. */
+/** How strong the evidence against the target must be. */
 interface Strictness {
   /** Standard deviations by which the observed number must exceed the expected one. */
   readonly deviations: number;
@@ -64,14 +64,14 @@
 const TAIL_QUANTILE = 0.9;
 const ALL_KINDS = 'all';
 
-/** Responses for a success while all data centres are heard of. */
+/** Responses for a success while the counts of all data centres are recent. */
 const MIN_RESPONSES = 20;
 /** Responses for a success near the deadline. */
 const MIN_LATE_RESPONSES = 10;
 /** Time before the deadline from which a success may be declared, as a fraction, with its bounds. */
-const EARLY_FRACTION = { least: 0.25, most: 0.4, ms: 4_000 } as const;
+const EARLY_FRACTION = { minFraction: 0.25, maxFraction: 0.4, ms: 4_000 } as const;
 /** The same from which silent data centres are not waited for. */
-const LATE_FRACTION = { least: 0.1, most: 0.25, ms: 2_500 } as const;
+const LATE_FRACTION = { minFraction: 0.1, maxFraction: 0.25, ms: 2_500 } as const;
 
 /**
  * Compares the target with the other versions, for the same kinds of call in the same data centres.
@@ -158,9 +158,13 @@
 
 function computeMarginMs(
   durationMs: number,
-  { least, most, ms }: { readonly least: number; readonly most: number; readonly ms: number },
+  {
+    minFraction,
+    maxFraction,
+    ms,
+  }: { readonly minFraction: number; readonly maxFraction: number; readonly ms: number },
 ): number {
-  return Math.max(durationMs * least, Math.min(durationMs * most, ms));
+  return Math.max(durationMs * minFraction, Math.min(durationMs * maxFraction, ms));
 }
 
 /** Counts responses of the target, in all data centres together. */
--- a/packages/relay/src/CactusdealRelayRolloutRecords.ts
+++ b/packages/relay/src/CactusdealRelayRolloutRecords.ts
@@ -1,7 +1,7 @@
 import type { Clock, Log } from '@cactusdeal/shared';
 import {
-  isFinal,
   comparePoints,
+  isFinal,
   type Rollout,
   type RolloutOrder,
   RolloutPhase,
@@ -9,10 +9,10 @@
   type VersionRule,
 } from './CactusdealRelayRolloutTypes.js';
 
-/** What this daemon knows of all rollouts. No news undoes a final phase that the store holds. */
+/** What this daemon knows of all rollouts. No later message undoes a final phase that the store holds. */
 export interface RolloutRecords {
-  /** Handles an order read from the store; `isNews` if it was written while the store was watched. */
-  receiveOrder(order: RolloutOrder, point: StorePoint, isNews: boolean): void;
+  /** Handles an order read from the store; `isWatched` if it was written while the store was watched. */
+  receiveOrder(order: RolloutOrder, point: StorePoint, isWatched: boolean): void;
   /** Handles what another daemon knows. */
   receiveRollout(rollout: Rollout): void;
   /** Records this daemon's decision to roll back, which binds before the store has it. */
@@ -60,21 +60,21 @@
     list: () => [...rolloutsByService.values()].flat(),
   };
 
-  function receiveOrder(order: RolloutOrder, point: StorePoint, isNews: boolean): void {
-    const assumedAgeMs = isNews ? 0 : order.durationMs * ASSUMED_AGE_FRACTION;
+  function receiveOrder(order: RolloutOrder, point: StorePoint, isWatched: boolean): void {
+    const assumedAgeMs = isWatched ? 0 : order.durationMs * ASSUMED_AGE_FRACTION;
     merge({
       order,
       phase: RolloutPhase.Ordered,
       isStored: false,
       startedAtMs: clock() - assumedAgeMs,
-      isStartKnown: isNews,
+      isStartKnown: isWatched,
       currentAt: point,
     });
   }
 
-  function merge(news: Rollout): void {
-    const known = find(news.order);
-    setRollout(known === undefined ? news : mergeRollouts(known, news));
+  function merge(received: Rollout): void {
+    const known = find(received.order);
+    setRollout(known === undefined ? received : mergeRollouts(known, received));
   }
 
   function confirm(order: RolloutOrder, phase: RolloutPhase, isWritten: boolean): void {
@@ -119,12 +119,12 @@
 }
 
 /** Merges what two daemons know of one order. */
-export function mergeRollouts(known: Rollout, news: Rollout): Rollout {
-  const isLater = comparePoints(news.currentAt, known.currentAt) > 0;
-  const [latest, earlier] = isLater ? [news, known] : [known, news];
-  const decided = computeCertainty(news) > computeCertainty(known) ? news : known;
+export function mergeRollouts(known: Rollout, received: Rollout): Rollout {
+  const isLater = comparePoints(received.currentAt, known.currentAt) > 0;
+  const [latest, earlier] = isLater ? [received, known] : [known, received];
+  const decided = computeCertainty(received) > computeCertainty(known) ? received : known;
   const { phase, isStored } = decided;
-  const start = pickStart(known, news);
+  const start = pickStart(known, received);
   return { ...earlier, ...latest, ...start, phase, isStored };
 }
 
--- a/packages/relay/src/CactusdealRelayRolloutWire.ts
+++ b/packages/relay/src/CactusdealRelayRolloutWire.ts
@@ -3,7 +3,7 @@
 import type { Rollout, RolloutOrder, RolloutPhase } from './CactusdealRelayRolloutTypes.js';
 
 /** Counts of one gate or of a data centre. */
-export interface CountsNews {
+export interface CountsUpdate {
   readonly service: string;
   readonly targetVersion: string;
   /** Id of the gate's daemon; undefined for the sum of a data centre. */
@@ -52,8 +52,8 @@
 }
 
 /** Encodes counts; times as pairs of bucket and number, as most buckets are empty. */
-export function toCountsMessage(news: CountsNews): Message {
-  const { service, targetVersion, memberId, dataCentre, rows } = news;
+export function toCountsMessage(update: CountsUpdate): Message {
+  const { service, targetVersion, memberId, dataCentre, rows } = update;
   const fields = rows.map(({ kind, isTarget, group, counts }) => [
     kind,
     isTarget,
@@ -73,7 +73,7 @@
   ];
 }
 
-export function parseCounts(message: Message): CountsNews {
+export function parseCounts(message: Message): CountsUpdate {
   const rows = message[5] as readonly (readonly unknown[])[];
   return {
     service: message[1] as string,
--- a/packages/relay/src/CactusdealRelayRollouts.ts
+++ b/packages/relay/src/CactusdealRelayRollouts.ts
@@ -3,8 +3,8 @@
 import type { Peer } from './CactusdealRelayPeer.js';
 import type { OrderReading, RolloutStore } from './CactusdealRelayPorts.js';
 import { createVersionChoice, type VersionChoice } from './CactusdealRelayRolloutChoice.js';
-import { createRolloutCounts, type RequestResult } from './CactusdealRelayRolloutCounts.js';
 import { createRolloutCoordinator } from './CactusdealRelayRolloutCoordinator.js';
+import { createRolloutCounts, type RequestResult } from './CactusdealRelayRolloutCounts.js';
 import { createRolloutRecords } from './CactusdealRelayRolloutRecords.js';
 import { createRolloutStatusWriter } from './CactusdealRelayRolloutStatusWriter.js';
 import { type Rollout, RolloutPhase } from './CactusdealRelayRolloutTypes.js';
@@ -13,7 +13,7 @@
 
 /** Exchange of what is known of rollouts, with each linked daemon. */
 export interface RolloutExchange {
-  /** What a daemon is told when a link opens, before the gate's report. */
+  /** What a daemon is sent when a link opens, before the gate's report. */
   listMessages(): readonly Message[];
   /** Handles a message about rollouts; `isLocal` if its sender is in the own data centre. */
   receive(message: Message, isLocal: boolean): void;
--- a/packages/relay/src/CactusdealRelayStoreEra.ts
+++ b/packages/relay/src/CactusdealRelayStoreEra.ts
@@ -38,7 +38,7 @@
   };
 }
 
-/** Reads an era that another program has written; `NO_ERA` if there is none or it is no valid one. */
+/** Reads an era that another program has written; `NO_ERA` if it is missing or invalid. */
 export function parseEra(value: unknown): number {
   return Number.isSafeInteger(value) && (value as number) > NO_ERA ? (value as number) : NO_ERA;
 }
@@ -89,15 +89,15 @@
   Plain: 'plain',
   /** A watch of a store that may be restored while it waits. */
   Restorable: 'restorable',
-  /** A watch that only asks for the era. */
+  /** A watch that only reads the era. */
   Check: 'check',
 } as const;
 export type WatchKind = (typeof WatchKind)[keyof typeof WatchKind];
 
 /**
  * Chooses the next watch from a usable position; `isDoubtful` if the last request failed or was cut. The
- * store may have been restored meanwhile, and a watch from a revision that it has assigned again waits for
- * nothing. Reading everything each time would take hundreds of kilobytes while the store turns requests away.
+ * store may have been restored meanwhile, and a watch from a revision that it has assigned again misses
+ * changes without an error. Reading everything each time would take hundreds of kilobytes while the store turns requests away.
  */
 export function chooseWatch(knownEra: number, isDoubtful: boolean): WatchKind {
   if (knownEra === NO_ERA) return WatchKind.Plain;
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -107,7 +107,7 @@
   readonly recordLimit: (memberId: string, limit: NamedLimit | undefined) => void;
 }
 
-/** Exchange of the news which upstreams are leaving, with each linked daemon. */
+/** Exchange of departing upstreams with each linked daemon. */
 export interface DepartureExchange {
   /** The last known departure of the upstream beside the daemon; undefined if there is none. */
   readonly getDeparture: (memberId: string) => Upstream | undefined;
--- a/packages/relay/src/CactusdealRelayUnservedCalls.ts
+++ b/packages/relay/src/CactusdealRelayUnservedCalls.ts
@@ -36,7 +36,7 @@
  *
  * Load pattern: callers that were refused and retry after the delay they were given. The latency
  * target of a retry counts from the first try, and its remaining time has shrunk by the time since
- * then, so both tries have the same deadline. Calls of other callers to the same path are told apart
+ * then, so both tries have the same deadline. Calls of other callers to the same path are distinguished
  * by their deadlines, as callers use different timeouts.
  */
 export function createUnservedCalls(): UnservedCalls {
--- a/packages/relay/src/CactusdealRelayUplinkAdmission.ts
+++ b/packages/relay/src/CactusdealRelayUplinkAdmission.ts
@@ -8,8 +8,8 @@
 /** Admission of calls with large answers by the time that their answers need on the uplink. */
 export interface UplinkAdmission<T extends UplinkRequest> {
   /**
-   * Time after which room is expected for a call that takes `serviceMs` at the upstream, in
-   * milliseconds; 0 if there is room now.
+   * Time after which the uplink is expected to have capacity for a call that takes `serviceMs` at the upstream, in
+   * milliseconds; 0 if it has capacity now.
    */
   computeWaitMs(call: T, serviceMs: number, nowMs: number): number;
   /** Counts the expected answer of an admitted call until `release`. */
--- a/packages/relay/src/CactusdealRelayUpstream.ts
+++ b/packages/relay/src/CactusdealRelayUpstream.ts
@@ -200,7 +200,7 @@
 
 /**
  * Whether the connection can take another request. After an answer that announces the end of its connection
- * the socket is destroyed at once, and the client is told of it later.
+ * the socket is destroyed at once, and the client is notified later.
  */
 function isOpen({ client, state }: Connection): boolean {
   return !client.destroyed && state.socket?.destroyed === false;
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -1,6 +1,6 @@
 import { type CrashNotice, parseCrashNotice } from '@cactusdeal/quarantine';
 import { type Message, MessageKind } from './CactusdealRelayFrames.js';
-import type { GateNews } from './CactusdealRelayKnownGate.js';
+import type { GateLoad } from './CactusdealRelayKnownGate.js';
 import { parseMember } from './CactusdealRelayMemberRecord.js';
 import { NO_ERA, parseEra } from './CactusdealRelayStoreEra.js';
 import type {
@@ -160,8 +160,8 @@
   };
 }
 
-/** Decodes what the end of an attempt tells about its gate. */
-export function parseNews(message: Message): GateNews {
+/** Decodes the load of the gate from the end of an attempt. */
+export function parseGateLoad(message: Message): GateLoad {
   return { load: message[2] as number, failureRate: message[3] as number };
 }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -10,13 +10,13 @@
   type Log,
   waitMs,
 } from '@cactusdeal/shared';
-import { createDepartures } from './CactusdealRelayDepartures.js';
 import {
-  createConfigurations,
   type Configurations,
+  createConfigurations,
   VersionOrigin,
 } from './CactusdealRelayConfigurations.js';
 import { createCrashExchange } from './CactusdealRelayCrashExchange.js';
+import { createDepartures } from './CactusdealRelayDepartures.js';
 import { type Entry, startEntry } from './CactusdealRelayEntry.js';
 import { createGate, type Gate } from './CactusdealRelayGate.js';
 import { createKnownLimits } from './CactusdealRelayKnownLimits.js';
@@ -25,11 +25,11 @@
   startLinkListener,
   StatusAudience,
 } from './CactusdealRelayLinkListener.js';
-import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 import { createMembers, type Members } from './CactusdealRelayMembers.js';
+import { createMemoryBudgets } from './CactusdealRelayMemory.js';
 import { createRelayMetrics, type RelayMetrics } from './CactusdealRelayMetrics.js';
-import type { ConfigurationSource, MemberRegistry, RolloutStore } from './CactusdealRelayPorts.js';
 import { SILENCE_CHECK_MS } from './CactusdealRelayPeer.js';
+import type { ConfigurationSource, MemberRegistry, RolloutStore } from './CactusdealRelayPorts.js';
 import { createQuotas, type Quotas } from './CactusdealRelayQuotas.js';
 import { isFreshReader } from './CactusdealRelayReaderRole.js';
 import { createRegistration, type Registration } from './CactusdealRelayRegistration.js';
@@ -171,7 +171,7 @@
     listPeers: () => members.list(),
     broadcast: (message) => {
       listener?.pushMessage(message);
-      members.list().forEach((peer) => peer.tell(message));
+      members.list().forEach((peer) => peer.sendMessage(message));
     },
     recordExposure: (service) => metrics.recordExposure(service),
   });
--- a/packages/relay/src/__tests__/CactusdealRelayQuotaFleet.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayQuotaFleet.ts
@@ -158,7 +158,7 @@
         member: other.member,
         isReachable: () =>
           (other.isRunning || other.isFrozen) && !fleet.isCut(daemon.member, other.member),
-        tellQuota: createReply(daemon, other),
+        sendQuota: createReply(daemon, other),
       }));
   }
 
--- a/packages/relay/src/__tests__/CactusdealRelayRolloutDaemons.ts
+++ b/packages/relay/src/__tests__/CactusdealRelayRolloutDaemons.ts
@@ -135,12 +135,12 @@
 
   function createPeer(from: RolloutDaemon, to: RolloutDaemon): Peer {
     const isConnected = (): boolean => listLinked(from).includes(to);
-    const tell = (message: Message): void => {
+    const sendMessage = (message: Message): void => {
       messages.push(message);
       const isLocal = from.member.dataCentre === to.member.dataCentre;
       if (isConnected()) to.rollouts.receive(message, isLocal);
     };
-    return { member: to.member, isConnected, tell } as unknown as Peer;
+    return { member: to.member, isConnected, sendMessage } as unknown as Peer;
   }
 
   function createStore(isReachable: () => boolean): RolloutStore {
--- a/packages/relay/src/__tests__/unit/CactusdealRelayMemory.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayMemory.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { type BodyState, createBodyRoom, findVictim } from '../../CactusdealRelayBodyRoom.js';
+import {
+  type BodyState,
+  createBodyReservations,
+  findEvictedBody,
+} from '../../CactusdealRelayBodyReservations.js';
 import { encodeMessage, encodeParts, type Message } from '../../CactusdealRelayFrames.js';
 import { createMemoryBudgets } from '../../CactusdealRelayMemory.js';
 
@@ -14,7 +18,7 @@
 });
 const waits = (heldBytes: number): BodyState => ({ ...reads(heldBytes, 2_000), isWaiting: true });
 
-const victimCases: readonly {
+const evictionCases: readonly {
   readonly name: string;
   readonly bodies: readonly BodyState[];
   readonly waiter: number;
@@ -50,18 +54,18 @@
 
 /** If bodies that stand still kept their room, one crowd of them would shut out all large bodies. */
 describe('room for a waiting body is taken from', () => {
-  victimCases.forEach(({ name, bodies, waiter, expected }) => {
-    it(name, () => assert.equal(findVictim(bodies, waiter, NOW_MS), expected));
+  evictionCases.forEach(({ name, bodies, waiter, expected }) => {
+    it(name, () => assert.equal(findEvictedBody(bodies, waiter, NOW_MS), expected));
   });
 });
 
 describe('a room for bodies', () => {
   it("serves the oldest of two bodies that need each other's room, and refuses the other", async () => {
     const budgets = createMemoryBudgets();
-    const room = createBodyRoom(budgets.callers, () => NOW_MS);
+    const reservations = createBodyReservations(budgets.callers, () => NOW_MS);
     const refused: string[] = [];
-    const first = room.enter(() => refused.push('first'));
-    const second = room.enter(() => {
+    const first = reservations.reserve(() => refused.push('first'));
+    const second = reservations.reserve(() => {
       refused.push('second');
       second.release(32 * MB);
     });
--- a/packages/relay/src/bench/CactusdealRelayBenchUneven.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchUneven.ts
@@ -107,7 +107,7 @@
       if (!linked.has(gate.member.id)) return;
       const known = createKnownGate(gate.member.id, getNowMs);
       const isLocal = gate.member.dataCentre === member.dataCentre;
-      const listener: Listener = { known, isLocal, told: buildGateReport(gate) };
+      const listener: Listener = { known, isLocal, lastReported: buildGateReport(gate) };
       known.receiveReport(buildGateReport(gate));
       gate.listeners.push(listener);
       links.set(gate.member.id, { gate, listener });
@@ -158,7 +158,7 @@
 
   function reportLocally(gate: UnevenGate): void {
     const report = buildGateReport(gate);
-    pushReport(gate, (link) => link.isLocal && isReportDue(report, link.told));
+    pushReport(gate, (link) => link.isLocal && isReportDue(report, link.lastReported));
     timeline.schedule(LOCAL_REPORT_MS, () => reportLocally(gate));
   }
 
@@ -169,9 +169,9 @@
 
   function pushReport(gate: UnevenGate, accept: (listener: Listener) => boolean): void {
     const report = buildGateReport(gate);
-    gate.listeners.filter(accept).forEach((told) => {
-      const listener = told;
-      listener.told = report;
+    gate.listeners.filter(accept).forEach((target) => {
+      const listener = target;
+      listener.lastReported = report;
       listener.known.receiveReport(report);
     });
   }
@@ -310,7 +310,7 @@
     const news = buildGateReport(gate);
     timeline.schedule(getTransitMs(call, gate), () => {
       const known = call.host.links.get(gate.member.id)?.listener.known;
-      known?.receiveNews({ load: news.load, failureRate: news.failureRate });
+      known?.receiveLoad({ load: news.load, failureRate: news.failureRate });
       known?.recordEnd(
         {
           kind: KIND,
--- a/packages/relay/src/bench/CactusdealRelayBenchUnevenTypes.ts
+++ b/packages/relay/src/bench/CactusdealRelayBenchUnevenTypes.ts
@@ -61,7 +61,7 @@
   readonly times: ServiceTimes;
   /** Its times without the slowness of a cold start. */
   readonly usualTimes: ServiceTimes;
-  /** Entries that hear the gate's reports. */
+  /** Entries that receive the gate's reports. */
   readonly listeners: Listener[];
   readonly failureRate: FailureRate;
   slowedUntilMs: number;
@@ -71,7 +71,7 @@
 export interface Listener {
   readonly known: KnownGate;
   readonly isLocal: boolean;
-  told: GateReport;
+  lastReported: GateReport;
 }
 
 export interface UnevenHost {
--- a/packages/shared/src/CactusdealSharedBody.ts
+++ b/packages/shared/src/CactusdealSharedBody.ts
@@ -20,9 +20,9 @@
 export type BodyFailureKind = (typeof BodyFailureKind)[keyof typeof BodyFailureKind];
 export type BodyFailure = Failure<BodyFailureKind>;
 
-/** The place of one body among others that share memory; its bytes are taken from their budget. */
-export interface BodySeat extends ByteBudget {
-  /** Calls `retry` from time to time until it returns true, which it does once it has found room. */
+/** Memory of one body among others that share a budget. */
+export interface BodyReservation extends ByteBudget {
+  /** Calls `retry` from time to time until it returns true, which it does once it has found memory. */
   wait(retry: () => boolean): void;
   /** The body has ended. */
   leave(): void;
@@ -35,10 +35,10 @@
   /** Length that the sender announced; if it is above `maxBytes`, nothing is collected. */
   readonly announcedBytes?: number;
   /**
-   * Lets the body wait, with its source paused, while there is no room in the budget; the body fails with
+   * Lets the body wait, with its source paused, while the budget is used up; the body fails with
    * `NoMemory` when `refuse` is called.
    */
-  readonly enterRoom?: (refuse: () => void) => BodySeat;
+  readonly reserveBody?: (refuse: () => void) => BodyReservation;
 }
 
 /** Most bytes that are read and discarded after a failure, so that the sender sees the answer. */
@@ -54,16 +54,16 @@
   options: CollectBodyOptions,
   pausable: PausableSource = source,
 ): Promise<Either<BodyFailure, Buffer>> {
-  const { pacer, timeoutMs, announcedBytes = 0, enterRoom, ...limits } = options;
-  const seat = enterRoom?.(() =>
+  const { pacer, timeoutMs, announcedBytes = 0, reserveBody, ...limits } = options;
+  const reservation = reserveBody?.(() =>
     settleFailed(BodyFailureKind.NoMemory, `no memory after ${receivedBytes} bytes`),
   );
   const collector = createByteCollector(
-    seat === undefined ? limits : { ...limits, budget: seat, keepsOnShortage: true },
+    reservation === undefined ? limits : { ...limits, budget: reservation, keepsOnShortage: true },
   );
   const pace = pacer?.watch(pausable);
   const maxDiscardedBytes = Math.min(limits.maxBytes, MAX_DISCARDED_BYTES);
-  /** Chunks that wait for room, in the order of their arrival. */
+  /** Chunks that wait for memory, in the order of their arrival. */
   const waiting: Buffer[] = [];
   let hasEnded = false;
   let receivedBytes = 0;
@@ -79,7 +79,7 @@
       failure ??= reason;
       waiting.length = 0;
       collector.discard();
-      seat?.leave();
+      reservation?.leave();
     };
     const timer =
       timeoutMs === undefined
@@ -112,16 +112,16 @@
   }
 
   function handleRefusal(chunk: Buffer): void {
-    if (seat === undefined || receivedBytes > limits.maxBytes) {
+    if (reservation === undefined || receivedBytes > limits.maxBytes) {
       failure = explainRefusal(receivedBytes);
       return;
     }
     waiting.push(chunk);
     pausable.pause();
-    seat.wait(addWaiting);
+    reservation.wait(addWaiting);
   }
 
-  /** Adds the chunks that wait for room; false if there is none yet. */
+  /** Adds the chunks that wait for memory; false if there is none yet. */
   function addWaiting(): boolean {
     for (let chunk = waiting[0]; chunk !== undefined; [chunk] = waiting) {
       if (!collector.add(chunk)) {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -7,7 +7,7 @@
 export {
   type BodyFailure,
   BodyFailureKind,
-  type BodySeat,
+  type BodyReservation,
   collectBody,
   type CollectBodyOptions,
   collectRequestBody,
