Define the lowest server-error status once

Cause: five modules defined MIN_SERVER_ERROR_STATUS with the same value, and two doc comments had lines beyond the usual width.

Change: CactusdealRelayAnswerKind exports the constant; the gate, the router, the known gates and the rollout counts import it. The comments are wrapped.

Result: build and lint of the changed files pass, and so do the 205 unit tests of the quotas, R modules, uplink, links and members. The whole suite was not run.

--- a/packages/relay/src/CactusdealRelayAnswerKind.ts
+++ b/packages/relay/src/CactusdealRelayAnswerKind.ts
@@ -3,7 +3,8 @@
 
 /** With the "not run" header field, these statuses mean that the upstream shed the request. */
 const SHED_STATUSES: ReadonlySet<number> = new Set([400, 421, 429, 503]);
-const MIN_SERVER_ERROR_STATUS = 500;
+/** Lowest status of a server error (RFC 9110 section 15.6). */
+export const MIN_SERVER_ERROR_STATUS = 500;
 /** Another upstream has taken over the address. */
 export const MISDIRECTED_STATUS = 421;
 
--- a/packages/relay/src/CactusdealRelayConfigurations.ts
+++ b/packages/relay/src/CactusdealRelayConfigurations.ts
@@ -75,7 +75,8 @@
 const WATCH_MS = 2_500;
 /**
  * The same at a store that may be restored: a restore may be detected only after two watches, one on a
- * connection from before it and one from a revision that was assigned again. New versions have to be in force after 4 s.
+ * connection from before it and one from a revision that was assigned again. New versions have to be in
+ * force after 4 s.
  */
 const RESTORABLE_WATCH_MS = 1_500;
 /** Wait of a watch that only reads the era. */
--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -9,6 +9,7 @@
   hasRunWell,
   isShedAnswer,
   isUpstreamAnswer,
+  MIN_SERVER_ERROR_STATUS,
   MISDIRECTED_STATUS,
 } from './CactusdealRelayAnswerKind.js';
 import { WARM_UP_FACTOR } from './CactusdealRelayBalancer.js';
@@ -116,7 +117,6 @@
 const OVERTAKEN_RETRY_MS = 100;
 /** A call that is cancelled this soon after it was sent should not have been sent, in milliseconds. */
 const NEEDLESS_RUN_MS = 25;
-const MIN_SERVER_ERROR_STATUS = 500;
 /** Largest body that is kept after the end of its call, to compute the fingerprint later. */
 const MAX_KEPT_BODY_BYTES = 1024;
 
--- a/packages/relay/src/CactusdealRelayKnownGate.ts
+++ b/packages/relay/src/CactusdealRelayKnownGate.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@cactusdeal/shared';
+import { MIN_SERVER_ERROR_STATUS } from './CactusdealRelayAnswerKind.js';
 import { type GateView, type Refusal, WARM_UP_FACTOR } from './CactusdealRelayBalancer.js';
 import { createGateLatency } from './CactusdealRelayGateLatency.js';
 import { type AttemptEnd, type GateReport, NotRunReason } from './CactusdealRelayTypes.js';
@@ -47,8 +48,6 @@
 /** Refusals kept; they count for a moment only. */
 const MAX_REFUSALS = 200;
 
-const MIN_SERVER_ERROR_STATUS = 500;
-
 /** Creates the record of a gate that has not reported yet. */
 export function createKnownGate(memberId: string, clock: Clock): KnownGate {
   const latency = createGateLatency(clock);
--- a/packages/relay/src/CactusdealRelayRolloutCounts.ts
+++ b/packages/relay/src/CactusdealRelayRolloutCounts.ts
@@ -1,5 +1,9 @@
 import type { Clock } from '@cactusdeal/shared';
-import { isShedAnswer, isUpstreamAnswer } from './CactusdealRelayAnswerKind.js';
+import {
+  isShedAnswer,
+  isUpstreamAnswer,
+  MIN_SERVER_ERROR_STATUS,
+} from './CactusdealRelayAnswerKind.js';
 import type { GateCall, HeaderNames, Upstream } from './CactusdealRelayTypes.js';
 import type { UpstreamEnd } from './CactusdealRelayUpstream.js';
 
@@ -59,7 +63,6 @@
 const WARM_UP_MS = 3_000;
 /** Connections that break together are one failure: an upstream that ends breaks all of its calls. */
 const BREAK_INTERVAL_MS = 100;
-const MIN_SERVER_ERROR_STATUS = 500;
 const BUCKETS_PER_OCTAVE = 4;
 const MAX_BUCKET = 64;
 
--- a/packages/relay/src/CactusdealRelayRouter.ts
+++ b/packages/relay/src/CactusdealRelayRouter.ts
@@ -1,5 +1,6 @@
 import type { Quarantine } from '@cactusdeal/quarantine';
 import type { Clock, DeferredTasks, Log, LogFields, Random } from '@cactusdeal/shared';
+import { MIN_SERVER_ERROR_STATUS } from './CactusdealRelayAnswerKind.js';
 import {
   type Choice,
   type ChoiceInput,
@@ -94,7 +95,6 @@
   NotRunReason.Unreachable,
   NotRunReason.Unconfirmed,
 ]);
-const MIN_SERVER_ERROR_STATUS = 500;
 const TIMEOUT_STATUS = 504;
 
 export function createRouter(options: RouterOptions): Router {
--- a/packages/relay/src/CactusdealRelayStoreEra.ts
+++ b/packages/relay/src/CactusdealRelayStoreEra.ts
@@ -97,7 +97,8 @@
 /**
  * Chooses the next watch from a usable position; `isDoubtful` if the last request failed or was cut. The
  * store may have been restored meanwhile, and a watch from a revision that it has assigned again misses
- * changes without an error. Reading everything each time would take hundreds of kilobytes while the store turns requests away.
+ * changes without an error. Reading everything each time would take hundreds of kilobytes while the store
+ * refuses requests.
  */
 export function chooseWatch(knownEra: number, isDoubtful: boolean): WatchKind {
   if (knownEra === NO_ERA) return WatchKind.Plain;
