--- a/packages/relay/src/CactusdealRelayRolloutCounts.ts
+++ b/packages/relay/src/CactusdealRelayRolloutCounts.ts
@@ -1,9 +1,13 @@
 import type { Clock } from '@cactusdeal/shared';
-import { isShedAnswer, isUpstreamAnswer } from './CactusdealRelayAnswerKind.js';
+import {
+  isShedAnswer,
+  isUpstreamAnswer,
+  MIN_SERVER_ERROR_STATUS,
+} from './CactusdealRelayAnswerKind.js';
 import type { GateCall, HeaderNames, Upstream } from './CactusdealRelayTypes.js';
 import type { UpstreamEnd } from './CactusdealRelayUpstream.js';
 
-/** What upstreams of a version answered to one kind of call. */
+/** Responses of upstreams of a version to one kind of call. */
 export interface ResponseCounts {
   readonly responses: number;
   readonly failures: number;
@@ -51,15 +55,14 @@
   readonly getTarget: (service: string) => string | undefined;
 }
 
-/** Routes of one kind are told apart by a hash of the first segment of the path, into this many. */
+/** Routes of one kind are distinguished by a hash of the first segment of the path, into this many. */
 const PATHS_PER_KIND = 8;
-/** Groups of the target's gates, so that a fault of one gate is told from one of the version. */
+/** Groups of the target's gates, so that a fault of one gate is distinguished from one of the version. */
 const GATE_GROUPS = 4;
 /** An upstream that has just started is slow; its service times do not count. */
 const WARM_UP_MS = 3_000;
 /** Connections that break together are one failure: an upstream that ends breaks all of its calls. */
 const BREAK_INTERVAL_MS = 100;
-const MIN_SERVER_ERROR_STATUS = 500;
 const BUCKETS_PER_OCTAVE = 4;
 const MAX_BUCKET = 64;
 
