--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -235,8 +235,12 @@
     isSilent: false,
     /** Requests that the worker began to run: { id, method, path, headers, body }. */
     runs: [],
+    /** Ids of the requests whose answers the worker has sent whole. */
+    ended: new Set(),
     serviceMs: () => 50,
     buildBody: (run) => Buffer.from(`${service} ${run.id}`),
+    /** Called before the body of a request is read; answers the request if it returns true. */
+    answerEarly: () => false,
     /** Called with each run and its response instead of the usual answer, if it returns true. */
     answerRun: () => false,
     ping,
@@ -261,6 +265,7 @@
 
   async function serve(request, response) {
     const { headers } = request;
+    if (worker.answerEarly(request)) return;
     const body = await readBody(request).catch(() => undefined);
     if (body === undefined) return;
     const id = headers['x-request-id'];
@@ -279,7 +284,8 @@
     worker.runs.push(run);
     record(`run ${id} by ${worker.id} (${service}): ${run.method} ${run.path}`);
     response.once('close', () => {
-      if (!response.writableFinished) record(`run ${id} by ${worker.id}: connection closed early`);
+      if (response.writableFinished) worker.ended.add(id);
+      else record(`run ${id} by ${worker.id}: connection closed early`);
     });
     if (worker.answerRun(run, request, response)) return;
     await wait(worker.serviceMs(run));
