--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,16 +1,16 @@
-// Callers that send long paths inside the limits: do ordinary callers of the same daemon get answers?
-import { Agent } from 'node:http';
-import { buildConfiguration, runCase, send, startMesh, wait } from '../lib-2/mesh.mjs';
+// A planned stop while a caller has yet to read its answers: does it get all of them?
+import { connect } from 'node:net';
+import { buildConfiguration, runCase, startMesh, wait, waitUntil } from '../lib-2/mesh.mjs';
 
-/** Inside `max_header_bytes` (16,384) with the other fields of the header. */
-const PATH = `/a/${'/'.repeat(15_000)}`;
-const LONG_CALLERS = 30;
-const LONG_GAP_MS = 250;
-const LONG_TIMEOUT_MS = 5_000;
-const ORDINARY_GAP_MS = 100;
-const ORDINARY_DEADLINE_MS = 1_500;
-const PLAY_MS = 10_000;
-const READINESS_GAP_MS = 1_000;
+/** Inside the largest `archive-download` of balado-trv-grown (540,000 bytes). */
+const ANSWER_BYTES = 500_000;
+const IDS = Array.from({ length: 12 }, (_, index) => `download-${index + 1}`);
+const DEADLINE_MS = 4_000;
+/** The caller reads nothing until then. */
+const READ_AFTER_MS = 3_000;
+const STOP_AFTER_MS = 200;
+const LINK_MBPS = 10;
+const ENTRY_PORT = 8304;
 
 await runCase(async ({ record, hasTrouble }) => {
   const mesh = await startMesh(
@@ -20,70 +20,73 @@
         { node: 'm2', zone: 'z1', service: 'archive' },
         { node: 'm3', zone: 'z2', service: 'archive' },
       ],
-      configuration: buildConfiguration(7, { r1: { prefix: '/a/', service: 'archive' } }, [
-        'front',
-        'archive',
-      ]),
+      configuration: buildConfiguration(
+        7,
+        { r1: { prefix: '/a/', service: 'archive', kind: 'download' } },
+        ['front', 'archive'],
+      ),
+      fields: { 'limits.bandwidth_mbps': LINK_MBPS },
     },
     record,
   );
-  const [front] = mesh.machines;
+  const [, busy] = mesh.machines;
+  mesh.setWorkers({
+    buildBody: ({ path }) =>
+      path.startsWith('/a/whole') ? Buffer.alloc(ANSWER_BYTES, 97) : Buffer.from('ok'),
+  });
   await mesh.ping();
   await wait(1_500);
-  if ((await mesh.send(front, 'first')).status !== 200) throw new Error('no service at the start');
+  if ((await mesh.send(busy, 'first')).status !== 200) throw new Error('no service at the start');
 
-  const endMs = performance.now() + PLAY_MS;
-  const path = hasTrouble ? PATH : '/a/';
-  record(
-    `${LONG_CALLERS} callers send paths of ${path.length} bytes, one by one, with ${LONG_GAP_MS} ms between`,
+  const startedAtMs = performance.now();
+  const received = [];
+  const socket = connect(ENTRY_PORT, busy.ip);
+  socket.pause();
+  socket.on('data', (bytes) => received.push(bytes));
+  socket.on('error', ({ message }) => record(`connection: ${message}`));
+  const closed = new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  IDS.forEach((id) =>
+    record(`send ${id} to ${busy.node}: GET /a/whole, deadline ${DEADLINE_MS} ms`),
   );
-  const longCalls = { sent: 0, answered: 0 };
-  const ordinary = [];
-  const readiness = [];
-  const loops = [sendOrdinary(), askReadiness()];
-  for (let index = 0; index < LONG_CALLERS; index += 1) loops.push(sendLong(index));
-  await Promise.all(loops);
-  const results = await Promise.all(ordinary);
-  const inTime = results.filter(({ status, ms }) => status > 0 && ms <= ORDINARY_DEADLINE_MS);
-  record(`long paths: ${longCalls.sent} sent, ${longCalls.answered} answered`);
-  record(
-    `readiness, once a second: ${readiness.map((isReady) => (isReady ? '200' : '-')).join(' ')}`,
-  );
-  record(`ordinary callers: ${results.length}, answered inside their deadline: ${inTime.length}`);
+  socket.write(IDS.map(buildRequest).join(''));
+  await waitUntil(() => IDS.every((id) => busy.worker.ended.has(id)), 'the worker has answered');
+  record('the worker has answered all of them');
+  await wait(STOP_AFTER_MS);
+  if (hasTrouble) busy.daemon.signal('SIGTERM');
+  await wait(startedAtMs + READ_AFTER_MS - performance.now());
+  record('the caller reads');
+  socket.resume();
+  await Promise.race([closed, wait(startedAtMs + DEADLINE_MS - performance.now())]);
+  const whole = countWhole(Buffer.concat(received));
+  record(`whole answers: ${whole} of ${IDS.length}`);
+  socket.destroy();
   await mesh.close();
-  return inTime.length * 4 >= results.length;
-
-  async function sendOrdinary() {
-    for (let index = 1; performance.now() < endMs; index += 1) {
-      ordinary.push(mesh.send(front, `call-${index}`, { deadlineMs: ORDINARY_DEADLINE_MS }));
-      await wait(ORDINARY_GAP_MS);
-    }
-  }
+  return whole === IDS.length;
+});
 
-  async function askReadiness() {
-    while (performance.now() < endMs) {
-      const [isReady] = await Promise.all([front.daemon.isReady(), wait(READINESS_GAP_MS)]);
-      readiness.push(isReady);
-    }
-  }
+function buildRequest(id) {
+  const fields = [
+    'Host: mesh.example',
+    `X-Request-Id: ${id}`,
+    `X-Request-Deadline: ${DEADLINE_MS}`,
+  ];
+  return `GET /a/whole HTTP/1.1\r\n${fields.join('\r\n')}\r\n\r\n`;
+}
 
-  /** Sends requests one by one on a kept connection, each after the answer to the last. */
-  async function sendLong(caller) {
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    for (let index = 0; performance.now() < endMs; index += 1) {
-      longCalls.sent += 1;
-      const { status } = await send(`${front.entry}${path}`, {
-        agent,
-        timeoutMs: LONG_TIMEOUT_MS,
-        headers: {
-          Host: 'mesh.example',
-          'X-Request-Id': `long-${caller}-${index}`,
-          'X-Request-Deadline': String(LONG_TIMEOUT_MS),
-        },
-      });
-      if (status > 0) longCalls.answered += 1;
-      await wait(LONG_GAP_MS);
-    }
-    agent.destroy();
+/** Counts the complete answers in what a connection has delivered. */
+function countWhole(bytes) {
+  let count = 0;
+  let rest = bytes;
+  for (;;) {
+    const end = rest.indexOf('\r\n\r\n');
+    if (end < 0) return count;
+    const head = rest.subarray(0, end).toString('latin1');
+    const length = Number(/^content-length: (\d+)$/im.exec(head)?.[1]);
+    const next = end + 4 + length;
+    if (!/^HTTP\/1.1 200 /.test(head) || !(rest.length >= next)) return count;
+    count += 1;
+    rest = rest.subarray(next);
   }
-});
+}
