--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -4,7 +4,7 @@
 
 /** Inside the largest `archive-download` of balado-trv-grown (540,000 bytes). */
 const ANSWER_BYTES = 500_000;
-const IDS = Array.from({ length: 12 }, (_, index) => `download-${index + 1}`);
+const IDS = Array.from({ length: 16 }, (_, index) => `download-${index + 1}`);
 const DEADLINE_MS = 4_000;
 /** The caller reads nothing until then. */
 const READ_AFTER_MS = 3_000;
