--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,16 +1,15 @@
-// A planned stop while a caller has yet to read its answers: does it get all of them?
-import { connect } from 'node:net';
+// A worker that crashes, is back under its id and leaves: does the daemon that acknowledges it stop sending?
 import { buildConfiguration, runCase, startMesh, wait, waitUntil } from '../lib-2/mesh.mjs';
 
-/** Inside the largest `archive-download` of balado-trv-grown (540,000 bytes). */
-const ANSWER_BYTES = 500_000;
-const IDS = Array.from({ length: 16 }, (_, index) => `download-${index + 1}`);
-const DEADLINE_MS = 4_000;
-/** The caller reads nothing until then. */
-const READ_AFTER_MS = 3_000;
-const STOP_AFTER_MS = 200;
-const LINK_MBPS = 10;
-const ENTRY_PORT = 8304;
+const DRAIN_MS = 2_000;
+const DOWN_MS = 1_000;
+const LEAVE_AFTER_MS = 400;
+/** The first ping of the new lifetime is late, and arrives after its DELETE. */
+const PING_DELAY_MS = 2_500;
+/** Time that the worker goes on serving after `drain_ms`; then it exits. */
+const EXTRA_MS = 1_500;
+const SERVICE_MS = 300;
+const CALL_GAP_MS = 50;
 
 await runCase(async ({ record, hasTrouble }) => {
   const mesh = await startMesh(
@@ -22,71 +21,55 @@
       ],
       configuration: buildConfiguration(
         7,
-        { r1: { prefix: '/a/', service: 'archive', kind: 'download' } },
+        { r1: { prefix: '/a/', service: 'archive', kind: 'non_idempotent' } },
         ['front', 'archive'],
       ),
-      fields: { 'limits.bandwidth_mbps': LINK_MBPS },
     },
     record,
   );
-  const [, busy] = mesh.machines;
-  mesh.setWorkers({
-    buildBody: ({ path }) =>
-      path.startsWith('/a/whole') ? Buffer.alloc(ANSWER_BYTES, 97) : Buffer.from('ok'),
-  });
+  const [front, { worker: leaver }] = mesh.machines;
+  mesh.setWorkers({ serviceMs: () => SERVICE_MS });
   await mesh.ping();
   await wait(1_500);
-  if ((await mesh.send(busy, 'first')).status !== 200) throw new Error('no service at the start');
+  if ((await mesh.send(front, 'first')).status !== 200) throw new Error('no service at the start');
 
-  const startedAtMs = performance.now();
-  const received = [];
-  const socket = connect(ENTRY_PORT, busy.ip);
-  socket.pause();
-  socket.on('data', (bytes) => received.push(bytes));
-  socket.on('error', ({ message }) => record(`connection: ${message}`));
-  const closed = new Promise((resolve) => {
-    socket.once('close', resolve);
-  });
-  IDS.forEach((id) =>
-    record(`send ${id} to ${busy.node}: GET /a/whole, deadline ${DEADLINE_MS} ms`),
-  );
-  socket.write(IDS.map(buildRequest).join(''));
-  await waitUntil(() => IDS.every((id) => busy.worker.ended.has(id)), 'the worker has answered');
-  record('the worker has answered all of them');
-  await wait(STOP_AFTER_MS);
-  if (hasTrouble) busy.daemon.signal('SIGTERM');
-  await wait(startedAtMs + READ_AFTER_MS - performance.now());
-  record('the caller reads');
-  socket.resume();
-  await Promise.race([closed, wait(startedAtMs + DEADLINE_MS - performance.now())]);
-  const whole = countWhole(Buffer.concat(received));
-  record(`whole answers: ${whole} of ${IDS.length}`);
-  socket.destroy();
-  await mesh.close();
-  return whole === IDS.length;
-});
-
-function buildRequest(id) {
-  const fields = [
-    'Host: mesh.example',
-    `X-Request-Id: ${id}`,
-    `X-Request-Deadline: ${DEADLINE_MS}`,
-  ];
-  return `GET /a/whole HTTP/1.1\r\n${fields.join('\r\n')}\r\n\r\n`;
-}
+  // The worker has just sent a ping when it crashes.
+  const pings = leaver.sequence;
+  await waitUntil(() => leaver.sequence > pings, 'a ping');
+  await wait(100);
+  leaver.isSilent = true;
+  if (hasTrouble) {
+    leaver.stop();
+    record(`${leaver.id} crashes`);
+    await wait(DOWN_MS);
+    await leaver.start(leaver.id);
+    record(`${leaver.id} is back under its id, born ${leaver.born}`);
+    const { born } = leaver;
+    setTimeout(async () => {
+      const status = await leaver.ping({ born, sequence: 1 });
+      record(`first ping of the new lifetime, ${PING_DELAY_MS} ms late: ${status}`);
+    }, PING_DELAY_MS);
+    await wait(LEAVE_AFTER_MS);
+  }
+  const acknowledged = await leaver.leave();
+  const acknowledgedAtMs = performance.now();
+  record(`DELETE of ${leaver.id}: ${acknowledged}; the worker serves on for some seconds`);
+  if (acknowledged !== 200) throw new Error('the worker got no acknowledgement');
 
-/** Counts the complete answers in what a connection has delivered. */
-function countWhole(bytes) {
-  let count = 0;
-  let rest = bytes;
-  for (;;) {
-    const end = rest.indexOf('\r\n\r\n');
-    if (end < 0) return count;
-    const head = rest.subarray(0, end).toString('latin1');
-    const length = Number(/^content-length: (\d+)$/im.exec(head)?.[1]);
-    const next = end + 4 + length;
-    if (!/^HTTP\/1.1 200 /.test(head) || !(rest.length >= next)) return count;
-    count += 1;
-    rest = rest.subarray(next);
+  await wait(DRAIN_MS);
+  const runsBefore = leaver.runs.length;
+  const calls = [];
+  while (performance.now() - acknowledgedAtMs < DRAIN_MS + EXTRA_MS) {
+    calls.push(mesh.send(front, `call-${calls.length + 1}`, { method: 'POST' }));
+    await wait(CALL_GAP_MS);
   }
-}
+  leaver.stop();
+  record(`${leaver.id} exits`);
+  const answers = await Promise.all(calls);
+  const reached = leaver.runs.length - runsBefore;
+  const lost = answers.filter(({ status }) => status === 0 || status === 502);
+  record(`calls sent later than ${DRAIN_MS} ms after the acknowledgement: ${calls.length}`);
+  record(`of them run by the worker that has left: ${reached}; lost with its exit: ${lost.length}`);
+  await mesh.close();
+  return reached === 0;
+});
