--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,12 +1,15 @@
-// A client sends requests with two Host fields: do ordinary callers of the service still get answers?
-import { connect } from 'node:net';
-import { buildConfiguration, runCase, startMesh, wait } from '../lib-2/mesh.mjs';
+// A worker that crashes, is back under its id and leaves: does the daemon that acknowledges it stop sending?
+import { buildConfiguration, runCase, startMesh, wait, waitUntil } from '../lib-2/mesh.mjs';
 
-const BAD_REQUESTS = 5;
-const BAD_GAP_MS = 3_000;
+const DRAIN_MS = 2_000;
+const DOWN_MS = 1_000;
+const LEAVE_AFTER_MS = 400;
+/** The first ping of the new lifetime is late, and arrives after its DELETE. */
+const PING_DELAY_MS = 2_500;
+/** Time that the worker goes on serving after `drain_ms`; then it exits. */
+const EXTRA_MS = 1_500;
+const SERVICE_MS = 300;
 const CALL_GAP_MS = 50;
-const DEADLINE_MS = 1_000;
-const ENTRY_PORT = 8304;
 
 await runCase(async ({ record, hasTrouble }) => {
   const mesh = await startMesh(
@@ -15,54 +18,58 @@
         { node: 'm1', zone: 'z1', service: 'front' },
         { node: 'm2', zone: 'z1', service: 'archive' },
         { node: 'm3', zone: 'z2', service: 'archive' },
-        { node: 'm4', zone: 'z2', service: 'front' },
-        { node: 'm5', zone: 'z1', service: 'archive' },
-        { node: 'm6', zone: 'z2', service: 'archive' },
       ],
-      configuration: buildConfiguration(7, { r1: { prefix: '/a/', service: 'archive' } }, [
-        'front',
-        'archive',
-      ]),
+      configuration: buildConfiguration(
+        7,
+        { r1: { prefix: '/a/', service: 'archive', kind: 'non_idempotent' } },
+        ['front', 'archive'],
+      ),
     },
     record,
   );
-  const [near, , , far] = mesh.machines;
+  const [front, { worker: leaver }] = mesh.machines;
+  mesh.setWorkers({ serviceMs: () => SERVICE_MS });
   await mesh.ping();
-  await wait(2_500);
-  if ((await mesh.send(far, 'first')).status !== 200) throw new Error('no service at the start');
+  await wait(1_500);
+  if ((await mesh.send(front, 'first')).status !== 200) throw new Error('no service at the start');
 
-  const calls = [];
-  const endMs = performance.now() + BAD_REQUESTS * BAD_GAP_MS;
-  const loops = [sendOrdinary()];
-  if (hasTrouble) loops.push(sendBad());
-  await Promise.all(loops);
-  const answers = await Promise.all(calls);
-  const served = answers.filter(({ status }) => status === 200);
-  const refused = answers.filter(({ status }) => status === 503);
-  record(`ordinary calls: ${answers.length}, served: ${served.length}, 503: ${refused.length}`);
-  await mesh.close();
-  return served.length * 4 >= answers.length;
-
-  async function sendOrdinary() {
-    while (performance.now() < endMs) {
-      const machine = calls.length % 2 === 0 ? near : far;
-      calls.push(mesh.send(machine, `call-${calls.length + 1}`, { deadlineMs: DEADLINE_MS }));
-      await wait(CALL_GAP_MS);
-    }
+  // The worker has just sent a ping when it crashes.
+  const pings = leaver.sequence;
+  await waitUntil(() => leaver.sequence > pings, 'a ping');
+  await wait(100);
+  leaver.isSilent = true;
+  if (hasTrouble) {
+    leaver.stop();
+    record(`${leaver.id} crashes`);
+    await wait(DOWN_MS);
+    await leaver.start(leaver.id);
+    record(`${leaver.id} is back under its id, born ${leaver.born}`);
+    const { born } = leaver;
+    setTimeout(async () => {
+      const status = await leaver.ping({ born, sequence: 1 });
+      record(`first ping of the new lifetime, ${PING_DELAY_MS} ms late: ${status}`);
+    }, PING_DELAY_MS);
+    await wait(LEAVE_AFTER_MS);
   }
+  const acknowledged = await leaver.leave();
+  const acknowledgedAtMs = performance.now();
+  record(`DELETE of ${leaver.id}: ${acknowledged}; the worker serves on for some seconds`);
+  if (acknowledged !== 200) throw new Error('the worker got no acknowledgement');
 
-  async function sendBad() {
-    for (let index = 1; index <= BAD_REQUESTS; index += 1) {
-      const socket = connect(ENTRY_PORT, near.ip);
-      socket.on('error', () => {});
-      socket.once('data', (bytes) => {
-        record(`answer to bad-${index}: ${bytes.toString('latin1').split('\r\n')[0]}`);
-        socket.destroy();
-      });
-      const fields = ['Host: mesh.example', 'Host: mesh.example', `X-Request-Id: bad-${index}`];
-      record(`send bad-${index} to ${near.node}, with two Host fields`);
-      socket.write(`GET /a/ HTTP/1.1\r\n${fields.join('\r\n')}\r\n\r\n`);
-      await wait(BAD_GAP_MS);
-    }
+  await wait(DRAIN_MS);
+  const runsBefore = leaver.runs.length;
+  const calls = [];
+  while (performance.now() - acknowledgedAtMs < DRAIN_MS + EXTRA_MS) {
+    calls.push(mesh.send(front, `call-${calls.length + 1}`, { method: 'POST' }));
+    await wait(CALL_GAP_MS);
   }
+  leaver.stop();
+  record(`${leaver.id} exits`);
+  const answers = await Promise.all(calls);
+  const reached = leaver.runs.length - runsBefore;
+  const lost = answers.filter(({ status }) => status === 0 || status === 502);
+  record(`calls sent later than ${DRAIN_MS} ms after the acknowledgement: ${calls.length}`);
+  record(`of them run by the worker that has left: ${reached}; lost with its exit: ${lost.length}`);
+  await mesh.close();
+  return reached === 0;
 });
