--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -1,7 +1,7 @@
 // Stand-ins of the users' platform for the cases 6 to 10: the store, workers, requesters and the
 // processes of the deploy file. They use Node.js alone and run on loopback addresses only.
 import { spawn } from 'node:child_process';
-import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, writeSync } from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -20,10 +20,10 @@
 /** Writes lines with the time since the start to the record of a case. */
 export function createRecord(path) {
   const startedAtMs = performance.now();
-  writeFileSync(path, '');
+  const file = openSync(path, 'w');
   return (text) => {
     const seconds = ((performance.now() - startedAtMs) / 1000).toFixed(3);
-    appendFileSync(path, `${seconds} ${text}\n`);
+    writeSync(file, `${seconds} ${text}\n`);
   };
 }
 
