End a test file that runs longer than five minutes, as failed and by its name

A test that fails and leaves a server open kept its process, and so the whole test command, alive without end. The runner's own time limit ends the file and reports it by its path.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -5,6 +5,8 @@
 
 const KNOWN_RED = 'KNOWN-RED.txt';
 const CONCURRENCY = 4;
+/** A test file that runs longer is ended and counts as failed, by its name. */
+const FILE_TIMEOUT_MS = 300_000;
 
 function listTestFiles() {
   const files = ['packages', 'platform']
@@ -37,6 +39,7 @@
     '--test',
     '--test-reporter=tap',
     `--test-concurrency=${CONCURRENCY}`,
+    `--test-timeout=${FILE_TIMEOUT_MS}`,
     ...files,
   ],
   { stdio: ['ignore', 'pipe', 'inherit'] },
