Check answers without end as they are read

Cause: data that cannot be an answer was looked for every 100 ms.

The bound of the test stays; it now closes its pool and its server also when it fails.

--- a/packages/relay/src/CactusdealRelayUpstream.ts
+++ b/packages/relay/src/CactusdealRelayUpstream.ts
@@ -6,7 +6,6 @@
 import {
   type ConnectionState,
   createConnectionState,
-  findExcess,
   openSocket,
 } from './CactusdealRelayUpstreamSocket.js';
 
@@ -73,8 +72,6 @@
 
 /** Largest head of an answer, in bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
-/** Interval between checks for data without end, in milliseconds. */
-const EXCESS_CHECK_MS = 100;
 
 /**
  * Creates an empty pool. A connection is closed as soon as a request on it fails, and after an answer that
@@ -84,15 +81,10 @@
   const idleConnections: Connection[] = [];
   const openConnections = new Set<Connection>();
   const { pacer, heldBytes = createByteBudget(MAX_ANSWERS_BYTES) } = options;
-  const busyConnections = new Set<Connection>();
-  let excessTimer: NodeJS.Timeout | undefined;
   let noReuseUntilMs = 0;
   return {
     send,
-    close: () => {
-      stopChecks();
-      openConnections.forEach((connection) => discard(connection));
-    },
+    close: () => openConnections.forEach((connection) => discard(connection)),
   };
 
   function openClient(): Connection {
@@ -138,37 +130,13 @@
     else if (openConnections.has(connection)) idleConnections.push(connection);
   }
 
-  /**
-   * Closes connections whose data since the request cannot belong to an answer. The checks end with the first
-   * one without a request, as starting and stopping a timer with each request would cost more.
-   */
-  function closeExcessive(): void {
-    if (busyConnections.size === 0) stopChecks();
-    busyConnections.forEach(({ state }) => {
-      const excess = findExcess(state);
-      if (excess !== undefined) state.socket?.destroy(new Error(excess));
-    });
-  }
-
-  function addBusy(connection: Connection): void {
-    busyConnections.add(connection);
-    excessTimer ??= setInterval(closeExcessive, EXCESS_CHECK_MS);
-  }
-
-  function stopChecks(): void {
-    clearInterval(excessTimer);
-    excessTimer = undefined;
-  }
-
   function send(request: UpstreamRequest): UpstreamCall {
     const connection = request.id === undefined ? openClient() : takeConnection();
     const { client, state } = connection;
-    addBusy(connection);
     let isCancelled = false;
     const end = new Promise<UpstreamEnd>((resolve) => {
       const context = { state, heldBytes, pacer };
       const handler = createHandler(request, options.idField, context, (result) => {
-        busyConnections.delete(connection);
         if (result.type === 'answered') releaseConnection(connection);
         else {
           if (result.type === 'broken' && !isCancelled) {
--- a/packages/relay/src/CactusdealRelayUpstreamSocket.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamSocket.ts
@@ -49,11 +49,7 @@
  * Says why the data read since the request cannot be an answer; undefined if it can. The HTTP client
  * itself limits heads and bodies, but neither status lines nor chunk extensions.
  */
-export function findExcess({
-  socket,
-  bytesBefore,
-  bodyBytes,
-}: ConnectionState): string | undefined {
+function findExcess({ socket, bytesBefore, bodyBytes }: ConnectionState): string | undefined {
   // What is read ahead of the HTTP client, while it is paused, is no framing yet.
   const parsedBytes = (socket?.bytesRead ?? 0) - (socket?.readableLength ?? 0) - bytesBefore;
   const framingBytes = parsedBytes - bodyBytes;
@@ -64,7 +60,10 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Opens a socket and watches its end for `connectionState`. */
+/**
+ * Opens a socket, watches its end for `connectionState` and destroys it at data that cannot belong to an answer. The
+ * data is checked as it is read: until a timer runs, a local upstream may send many times the limit.
+ */
 export function openSocket(
   address: string,
   connectionState: ConnectionState,
@@ -86,6 +85,10 @@
     if (!isOpen) callback(error, null);
   });
   state.end = watchConnectionEnd(socket, () => state.endsWithConnection);
+  socket.on('readable', () => {
+    const excess = findExcess(state);
+    if (excess !== undefined) socket.destroy(new Error(excess));
+  });
   socket.on('connect', () => {
     isOpen = true;
     state.socket = socket;
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUpstream.test.ts
@@ -312,9 +312,13 @@
 
 describe('data without end from the upstream', () => {
   endlessCases.forEach(({ name, ...data }) => {
-    it(`ends the connection: ${name}`, { timeout: 2 * ENDLESS_LIMIT_MS }, async () => {
+    it(`ends the connection: ${name}`, { timeout: 2 * ENDLESS_LIMIT_MS }, async (context) => {
       const server = await startEndlessServer(data);
       const pool = createPool(server.address);
+      context.after(() => {
+        pool.close();
+        server.close();
+      });
       const call = pool.send({ method: 'GET', path: '/', headers: [], body: undefined, id: 'c1' });
       const timer = setTimeout(() => call.cancel(), ENDLESS_LIMIT_MS);
       const end = await call.end;
@@ -322,8 +326,6 @@
       assert.ok(end.type !== 'answered' || name === 'data after an answer', end.type);
       const takenBytes = await server.takenBytes;
       assert.ok(takenBytes < MAX_TAKEN_BYTES, `${takenBytes} bytes taken`);
-      pool.close();
-      server.close();
     });
   });
 });
