Let an end count for the start that it names, heard of or not

Cause: news of a start that no heartbeat had told of was taken for news of the known start, or ignored. So was the leave in an answer of such a start; other daemons were not told of such an end, and kept one departure a host, in which an older start of the same id replaced an end.

Change: a departure covers the instances of its id that have started until a time; one record an id, merged the same way in any order, told to all linked daemons and by them to the next process.

Weighed: to close the gate at the end of another id too. Not done: a wrong DELETE would close a live upstream, and calls to another id are turned down by the upstream itself.

--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -97,8 +97,11 @@
   readonly recordCancelled: (stage: CallStage) => void;
   /** Called with the end of each request to the upstream. */
   readonly recordResult?: (result: RequestResult) => void;
-  /** Called with an instance that said in an answer that it is about to stop. */
-  readonly receiveLeaving: (upstream: Upstream) => void;
+  /**
+   * Called when an answer says that its instance is about to stop, with the instance that the call was sent to, and
+   * when it was sent.
+   */
+  readonly receiveLeaving: (upstream: Upstream, sentAtMs: number) => void;
 }
 
 /** How a request to the upstream ended. */
@@ -120,6 +123,10 @@
 /** Largest body that is kept after the end of its call, to compute the fingerprint later. */
 const MAX_KEPT_BODY_BYTES = 1024;
 
+function isSameInstance(current: Upstream | undefined, { id, startedAtMs }: Upstream): boolean {
+  return current?.id === id && current.startedAtMs === startedAtMs;
+}
+
 /** Creates the gate of one upstream. */
 export function createGate(options: GateOptions): Gate {
   return new UpstreamGate(options);
@@ -376,7 +383,8 @@
   /** Records what the upstream says of itself in an answer. */
   private recordSignals(upstream: Upstream, sentAtMs: number, answer: Answer): void {
     this.recordLimit(upstream, sentAtMs, answer);
-    if (hasLeavingSignal(answer.headers, this.options.names)) this.options.receiveLeaving(upstream);
+    if (hasLeavingSignal(answer.headers, this.options.names))
+      this.options.receiveLeaving(upstream, sentAtMs);
   }
 
   /** Only an answer of the upstream itself tells that it no longer limits its calls. */
@@ -397,7 +405,7 @@
     const { log } = this.options;
     this.recordFailure(1);
     log.info('upstream-shed', { upstream: upstream.id, status: answer.status });
-    if (answer.status === MISDIRECTED_STATUS && this.upstream?.id === upstream.id) {
+    if (answer.status === MISDIRECTED_STATUS && isSameInstance(this.upstream, upstream)) {
       this.setUpstream({ ...upstream, state: 'gone' });
     }
     return buildNotRun(NotRunReason.Shed, 0, true);
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -34,6 +34,7 @@
   type HeaderNames,
   type Member,
   NotRunReason,
+  type Upstream,
 } from './CactusdealRelayTypes.js';
 import type { Uplink } from './CactusdealRelayUplink.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
@@ -63,7 +64,7 @@
   /** Sends this daemon's status to the linked daemons of its data centre, or to all. */
   pushStatus(audience: StatusAudience): void;
   /** Tells all linked daemons that the upstream on this host is leaving or has left. */
-  pushDeparture(): void;
+  pushDeparture(departure: Upstream): void;
   /** Tells all linked daemons of calls that crashed upstreams. */
   pushCrashes(notices: readonly CrashNotice[]): void;
   /** Sends a message of another part of the daemon to all linked daemons. */
@@ -144,7 +145,9 @@
   return {
     pushReport: () => pushReport(() => true),
     pushStatus,
-    pushDeparture: () => links.forEach((link) => writeDeparture(options, link, options.self.id)),
+    pushDeparture: (departure) => {
+      links.forEach((link) => write(link, toDepartureMessage(options.self.id, departure)));
+    },
     pushCrashes: (notices) => links.forEach((link) => writeCrashes(link, notices)),
     pushMessage: (message) => links.forEach((link) => write(link, message)),
     countCalls: () => [...links].reduce((sum, link) => sum + link.activeCalls.size, 0),
@@ -245,8 +248,8 @@
       // The entry then knows which versions are in force before it knows the gate's.
       options.rollouts?.listMessages().forEach((each) => write(link, each));
       write(link, toReportMessage(options.gate.getReport()));
-      writeDeparture(options, link, options.self.id);
-      writeDeparture(options, link, member.id);
+      writeDepartures(options, link, options.self.id);
+      writeDepartures(options, link, member.id);
       writeCrashes(link, options.listCrashNotices());
       options.receiveMember(member);
       break;
@@ -297,14 +300,15 @@
   }
 }
 
-/** Tells the other daemon what is known of the upstream beside the daemon `memberId`. */
-function writeDeparture(
-  { getDeparture }: LinkListenerOptions,
+/** Tells the other daemon what is known of the upstreams beside the daemon `memberId`. */
+function writeDepartures(
+  { listDepartures }: LinkListenerOptions,
   link: AcceptedLink,
   memberId: string,
 ): void {
-  const upstream = getDeparture(memberId);
-  if (upstream !== undefined) write(link, toDepartureMessage(memberId, upstream));
+  listDepartures(memberId).forEach((departure) => {
+    write(link, toDepartureMessage(memberId, departure));
+  });
 }
 
 function writeCrashes(link: AcceptedLink, notices: readonly CrashNotice[]): void {
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -245,10 +245,11 @@
   }
 
   private startLink(): void {
-    const { self, member, getStatus, getDeparture, getLimit, clock } = this.options;
+    const { self, member, getStatus, listDepartures, getLimit, clock } = this.options;
     this.link.write(toHelloMessage(self, getStatus(), clock()));
-    const departure = getDeparture(member.id);
-    if (departure !== undefined) this.link.write(toDepartureMessage(member.id, departure));
+    listDepartures(member.id).forEach((departure) => {
+      this.link.write(toDepartureMessage(member.id, departure));
+    });
     const limit = getLimit(member.id);
     if (limit !== undefined) this.link.write(toLimitMessage(limit));
     this.tellCrashes(this.options.listCrashNotices());
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -109,9 +109,9 @@
 
 /** Exchange of departing upstreams with each linked daemon. */
 export interface DepartureExchange {
-  /** The last known departure of the upstream beside the daemon; undefined if there is none. */
-  readonly getDeparture: (memberId: string) => Upstream | undefined;
-  readonly receiveDeparture: (memberId: string, upstream: Upstream) => void;
+  /** The last known departure of each id of the upstreams beside the daemon. */
+  readonly listDepartures: (memberId: string) => readonly Upstream[];
+  readonly receiveDeparture: (memberId: string, departure: Upstream) => void;
 }
 
 /** Exchange of what is known of calls that crash upstreams, with each linked daemon. */
--- a/packages/relay/src/CactusdealRelayUpstreamTracker.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamTracker.ts
@@ -1,31 +1,40 @@
 import { type Clock, type Log, scheduleTicks } from '@cactusdeal/shared';
+import { createDepartures, isMoreFinal } from './CactusdealRelayDepartures.js';
 import type { Heartbeat, Upstream } from './CactusdealRelayTypes.js';
 
 /**
- * Tracks the current instance of the upstream on this host from its heartbeats, which may arrive in
- * any order.
+ * Tracks the current instance of the upstream on this host. Heartbeats, ends and what answers and other daemons tell
+ * may arrive in any order, and nothing may have been heard of an instance before its end. Each of them speaks of the
+ * instances with its id that have started until a point in time: it counts for all of those, and for no later one.
  */
 export interface UpstreamTracker {
   /** Handles a heartbeat; false if it is outdated or its instance has ended. */
   receive(heartbeat: Heartbeat): boolean;
   /**
    * Handles the end of an instance; `startedAtMs` is undefined if the upstream did not name it.
-   * False if that instance is not the current one.
+   * False if that instance is not the current one or a later one with its id.
    */
   receiveEnd(id: string, startedAtMs: number | undefined): boolean;
   /**
-   * Handles what another daemon knows of the upstream on this host: that an instance of it is
+   * Handles what another daemon knows of the upstream on this host: that instances of it are
    * draining, leaving or gone, as this daemon was told before its restart.
    */
-  receiveDeparture(upstream: Upstream): void;
-  /** Handles an answer in which an instance said that it is about to stop. */
-  receiveLeaving(upstream: Upstream): void;
+  receiveDeparture(departure: Upstream): void;
+  /**
+   * Handles an answer that says that its instance is about to stop. The call was sent at `sentAtMs` by the monotonic
+   * clock to the instance `upstream`; a later one with the same id may have answered it.
+   */
+  receiveLeaving(upstream: Upstream, sentAtMs: number): void;
   /** The current instance; undefined before the first heartbeat. */
   get(): Upstream | undefined;
+  /** The last departure of each id that the upstream on this host has had. */
+  listDepartures(): readonly Upstream[];
   close(): void;
 }
 
 export interface UpstreamTrackerOptions {
+  /** Service of an instance that is known only by its end. */
+  readonly service: string;
   /** Time between heartbeats, in milliseconds. */
   readonly heartbeatMs: number;
   readonly clock: Clock;
@@ -34,19 +43,18 @@
   readonly log: Log;
   /** Called with each accepted change; with undefined when the upstream falls silent. */
   readonly observe: (upstream: Upstream | undefined) => void;
+  /** Called with each departure that was not known. */
+  readonly observeDeparture: (departure: Upstream) => void;
 }
 
 /** Heartbeat intervals without a heartbeat after which the upstream is suspected to have failed. */
 const MAX_MISSED_HEARTBEATS = 4;
 const SILENCE_CHECK_TICKS = 1;
-/** Number of ids whose ended instances are remembered. */
-const MAX_ENDED_IDS = 64;
 
 export function createUpstreamTracker(options: UpstreamTrackerOptions): UpstreamTracker {
   const { clock, wallClock, log, observe } = options;
   let current: Upstream | undefined;
-  /** By id, the latest start of an ended instance, in Unix milliseconds. */
-  const endedStarts = new Map<string, number>();
+  const departures = createDepartures();
   let lastHeartbeatAtMs = clock();
   let isSilent = false;
   const stopTicks = scheduleTicks(SILENCE_CHECK_TICKS, checkSilence);
@@ -56,12 +64,13 @@
     receiveDeparture,
     receiveLeaving,
     get: () => current,
+    listDepartures: () => departures.list(),
     close: () => stopTicks(),
   };
 
   function receive(heartbeat: Heartbeat): boolean {
-    const isEnded = heartbeat.startedAtMs <= (endedStarts.get(heartbeat.id) ?? -1);
-    if (isEnded || (current !== undefined && !isNewer(heartbeat, current))) {
+    const departure = departures.get(heartbeat.id);
+    if (isOutdated(heartbeat, departure)) {
       const { id, sequence, state } = heartbeat;
       log.info('heartbeat-outdated', { upstream: id, sequence, state, known: current?.id });
       return false;
@@ -69,42 +78,62 @@
     lastHeartbeatAtMs = clock();
     isSilent = false;
     // Such a heartbeat may have been sent before the instance began to leave.
-    const isLeaving = isSameInstance(heartbeat, current) && current?.state === 'leaving';
-    setCurrent(isLeaving ? { ...heartbeat, state: 'leaving' } : heartbeat);
+    const isLeaving = departure?.state === 'leaving' && isCovered(heartbeat, departure);
+    const upstream: Upstream = isLeaving ? { ...heartbeat, state: 'leaving' } : heartbeat;
+    if (upstream.state !== 'ready') recordDeparture(upstream);
+    setCurrent(upstream);
     return true;
   }
 
-  function receiveLeaving(upstream: Upstream): void {
-    if (current === undefined || !isSameInstance(upstream, current)) return;
-    if (current.state === 'ready' || current.state === 'draining')
-      setCurrent({ ...current, state: 'leaving' });
+  function isOutdated(heartbeat: Heartbeat, departure: Upstream | undefined): boolean {
+    if (departure !== undefined && isBefore(heartbeat, departure)) return true;
+    return current !== undefined && !isNewer(heartbeat, current);
   }
 
+  function receiveLeaving(upstream: Upstream, sentAtMs: number): void {
+    const sentAtWallMs = wallClock() - (clock() - sentAtMs);
+    const startedAtMs = Math.max(upstream.startedAtMs, Math.floor(sentAtWallMs));
+    applyDeparture({ ...upstream, state: 'leaving', startedAtMs });
+  }
+
+  /**
+   * An end that names no start speaks of all instances with its id until now. It counts also if nothing was heard of
+   * its instance: this daemon, or the instance, may have started after the last heartbeat.
+   */
   function receiveEnd(id: string, startedAtMs: number | undefined): boolean {
-    recordEnd(id, startedAtMs ?? wallClock());
-    if (current?.id !== id) return false;
-    if (startedAtMs !== undefined && startedAtMs !== current.startedAtMs) return false;
-    setCurrent({ ...current, state: 'gone' });
-    return true;
+    const known: Upstream =
+      current?.id === id ? current : { ...buildUnknown(id), ...departures.get(id) };
+    const latestStartMs = Math.max(Math.floor(wallClock()), known.startedAtMs);
+    const isCurrent = current?.id === id && current.startedAtMs <= (startedAtMs ?? latestStartMs);
+    applyDeparture({ ...known, state: 'gone', startedAtMs: startedAtMs ?? latestStartMs });
+    return isCurrent;
+  }
+
+  function buildUnknown(id: string): Upstream {
+    const { service } = options;
+    return { id, service, capacity: 0, state: 'gone', startedAtMs: 0, sequence: 0 };
   }
 
-  function receiveDeparture(upstream: Upstream): void {
-    const { id, startedAtMs, sequence, state } = upstream;
-    if (state === 'gone') recordEnd(id, startedAtMs);
-    if (current !== undefined && !isLater(upstream, current)) return;
+  function receiveDeparture(departure: Upstream): void {
+    if (!applyDeparture(departure)) return;
+    const { id, sequence, state } = departure;
     log.info('departure-restored', { upstream: id, sequence, state });
+  }
+
+  /** Records a departure and applies it to the current instance; false if it was known. */
+  function applyDeparture(departure: Upstream): boolean {
+    const isNew = recordDeparture(departure);
+    const next = computeAfterDeparture(departure, current);
+    if (next === undefined) return isNew;
     lastHeartbeatAtMs = clock();
-    setCurrent(upstream);
+    setCurrent(next);
+    return isNew;
   }
 
-  /**
-   * Records the end also of an unknown instance: this daemon may have started after its last
-   * heartbeat.
-   */
-  function recordEnd(id: string, startedAtMs: number): void {
-    endedStarts.set(id, Math.max(startedAtMs, endedStarts.get(id) ?? 0));
-    const [oldest] = endedStarts.keys();
-    if (endedStarts.size > MAX_ENDED_IDS && oldest !== undefined) endedStarts.delete(oldest);
+  function recordDeparture(departure: Upstream): boolean {
+    const isNew = departures.record(departure);
+    if (isNew) options.observeDeparture(departure);
+    return isNew;
   }
 
   function setCurrent(next: Upstream): void {
@@ -123,24 +152,39 @@
 }
 
 /**
- * Whether a heartbeat is newer than the known state: from a later instance, or later from the same
- * one.
+ * Computes the current instance after a departure; undefined if it remains as it is. A drain is told in a heartbeat,
+ * so it also shows that an instance has started; an end or a leave speaks of its own id alone.
  */
-export function isNewer(heartbeat: Upstream, known: Upstream): boolean {
-  if (isSameInstance(heartbeat, known))
-    return known.state !== 'gone' && heartbeat.sequence > known.sequence;
-  return heartbeat.startedAtMs > known.startedAtMs || known.state === 'gone';
+function computeAfterDeparture(
+  departure: Upstream,
+  current: Upstream | undefined,
+): Upstream | undefined {
+  if (current === undefined) return departure;
+  if (departure.state === 'draining') return isNewer(departure, current) ? departure : undefined;
+  if (!isCovered(current, departure) || !isMoreFinal(departure, current)) return undefined;
+  return { ...current, state: departure.state };
 }
 
-/** How final the state of an instance is; no heartbeat undoes a more final one. */
-const FINALITY = { ready: 0, draining: 0, leaving: 1, gone: 2 } as const;
+/** Whether a departure speaks of the instance. */
+function isCovered(instance: Upstream, departure: Upstream): boolean {
+  return instance.id === departure.id && instance.startedAtMs <= departure.startedAtMs;
+}
 
-/** Whether `next` is a later state than `known`, however late the news of it arrives. */
-export function isLater(next: Upstream, known: Upstream): boolean {
-  const gained = FINALITY[next.state] - FINALITY[known.state];
-  return isSameInstance(next, known) && gained !== 0 ? gained > 0 : isNewer(next, known);
+/** Whether a heartbeat was sent before a departure of its id, or by an instance that has ended. */
+function isBefore(heartbeat: Heartbeat, departure: Upstream): boolean {
+  if (departure.state === 'leaving') return false;
+  if (departure.state === 'draining' && heartbeat.startedAtMs === departure.startedAtMs)
+    return heartbeat.sequence <= departure.sequence;
+  return heartbeat.startedAtMs <= departure.startedAtMs;
 }
 
-function isSameInstance(left: Upstream, right: Upstream | undefined): boolean {
-  return left.id === right?.id && left.startedAtMs === right.startedAtMs;
+/**
+ * Whether a heartbeat is newer than the known state: from a later instance, or later from the same
+ * one. After an instance has gone, one with another id counts as later whatever its clock says.
+ */
+export function isNewer(heartbeat: Upstream, known: Upstream): boolean {
+  if (heartbeat.id === known.id && heartbeat.startedAtMs === known.startedAtMs)
+    return known.state !== 'gone' && heartbeat.sequence > known.sequence;
+  const isAfterEnd = known.state === 'gone' && heartbeat.id !== known.id;
+  return heartbeat.startedAtMs > known.startedAtMs || isAfterEnd;
 }
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -16,7 +16,7 @@
   VersionOrigin,
 } from './CactusdealRelayConfigurations.js';
 import { createCrashExchange } from './CactusdealRelayCrashExchange.js';
-import { createDepartures } from './CactusdealRelayDepartures.js';
+import { createMemberDepartures } from './CactusdealRelayDepartures.js';
 import { type Entry, startEntry } from './CactusdealRelayEntry.js';
 import { createGate, type Gate } from './CactusdealRelayGate.js';
 import { createKnownLimits } from './CactusdealRelayKnownLimits.js';
@@ -188,7 +188,7 @@
     recordUplinkRefusal: () => metrics.recordUplinkRefusal(),
     log,
     observe: () => listener?.pushReport(),
-    receiveLeaving: (upstream) => upstreamTracker.receiveLeaving(upstream),
+    receiveLeaving: (upstream, sentAtMs) => upstreamTracker.receiveLeaving(upstream, sentAtMs),
     getShare: (name) => configurations.getRoutes()?.organisations?.getShare(name) ?? 1,
     recordReordered: () => metrics.recordReordered(),
     recordSent: (isNested) => metrics.recordSent(isNested),
@@ -197,15 +197,17 @@
     recordCancelled: (stage) => metrics.recordCancelled(stage),
     recordResult: (result) => rollouts.recordResult(result),
   });
-  const departures = createDepartures();
+  const memberDepartures = createMemberDepartures();
   const departureExchange: DepartureExchange = {
-    getDeparture: (memberId) => departures.get(memberId),
-    receiveDeparture: (memberId, upstream) => {
-      if (memberId === self.id) upstreamTracker.receiveDeparture(upstream);
-      else departures.record(memberId, upstream);
+    listDepartures: (memberId) =>
+      memberId === self.id ? upstreamTracker.listDepartures() : memberDepartures.list(memberId),
+    receiveDeparture: (memberId, departure) => {
+      if (memberId === self.id) upstreamTracker.receiveDeparture(departure);
+      else memberDepartures.record(memberId, departure);
     },
   };
   const upstreamTracker = createUpstreamTracker({
+    service: self.service,
     heartbeatMs: options.heartbeatMs,
     clock,
     wallClock: getWallTimeMs,
@@ -214,9 +216,8 @@
       gate.setUpstream(upstream);
       rollouts.setUpstream(upstream);
       rollouts.observeReport(gate.getReport());
-      if (upstream === undefined || upstream.state === 'ready') return;
-      if (departures.record(self.id, upstream)) listener?.pushDeparture();
     },
+    observeDeparture: (departure) => listener?.pushDeparture(departure),
   });
   const storeEra = createStoreEra(log);
   storeEra.subscribe((origin) => {
--- a/packages/relay/src/__tests__/unit/CactusdealRelayDepartures.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayDepartures.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createDepartures } from '../../CactusdealRelayDepartures.js';
+import { createMemberDepartures } from '../../CactusdealRelayDepartures.js';
 import type { Upstream } from '../../CactusdealRelayTypes.js';
 import { buildConfiguration, buildRule, buildUpstream } from '../CactusdealRelayFixtures.js';
 import {
@@ -36,7 +36,7 @@
 describe('departures that daemons tell one another', () => {
   cases.forEach(([name, before, next, isTaken]) => {
     it(`${isTaken ? 'take' : 'ignore'} ${name}`, () => {
-      const departures = createDepartures();
+      const departures = createMemberDepartures();
       departures.record('d1', buildUpstream({ ...known, ...before }));
       assert.equal(departures.record('d1', buildUpstream({ ...known, ...next })), isTaken);
     });
@@ -77,4 +77,31 @@
     assert.equal(leaving.requests.length, 1);
     await cluster.close();
   });
+
+  // Guards against DRAIN: the end of a restarted upstream was acknowledged and ignored, as no heartbeat had named its start.
+  it('keep a restarted upstream out of use that ends before its first heartbeat, also after a restart of its daemon', async (context) => {
+    const configuration = buildConfiguration([buildRule({ idempotent: false })]);
+    const cluster = await startCluster(configuration, ['desk', 'records']);
+    context.after(() => cluster.close());
+    const [caller, leaving] = cluster.hosts as [TestHost, TestHost];
+    assert.equal((await sendCall(caller)).status, 200);
+    leaving.relay.upstreamTracker.receiveEnd('u1', 2);
+    assert.equal((await sendCall(caller)).status, 503);
+    leaving.sendHeartbeat({ startedAtMs: 2 });
+    assert.equal((await sendCall(caller)).status, 503);
+    await leaving.restart();
+    await waitUntil(() => leaving.relay.upstreamTracker.get()?.state === 'gone', 'told of the end');
+    leaving.sendHeartbeat({ startedAtMs: 2 });
+    assert.equal((await sendCall(caller)).status, 503);
+    assert.equal(leaving.requests.length, 1);
+    leaving.sendHeartbeat({ startedAtMs: 3 });
+    let isServed = false;
+    const callOnce = async (): Promise<void> => {
+      isServed ||= (await sendCall(caller)).status === 200;
+    };
+    await waitUntil(() => {
+      void callOnce();
+      return isServed;
+    }, 'a later start serves');
+  });
 });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayLinkListener.test.ts
@@ -87,7 +87,7 @@
         gate: createRecordingGate(paths),
         getStatus: () => ({ version: 1, platformAgeMs: 0 }),
         buildUpdate: () => undefined,
-        getDeparture: () => undefined,
+        listDepartures: () => [],
         receiveDeparture: () => {},
         ...NO_CRASHES,
         receiveMember: () => {},
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -75,7 +75,7 @@
     member,
     self,
     getStatus: () => status,
-    getDeparture: () => undefined,
+    listDepartures: () => [],
     getLimit: () => undefined,
     recordLimit: () => {},
     receiveDeparture: () => {},
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUpstreamTracker.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUpstreamTracker.test.ts
@@ -84,11 +84,13 @@
   ends.forEach(({ name, start, next, isAccepted }) => {
     it(`${isAccepted ? 'accepts' : 'ignores'} ${name}`, () => {
       const tracker = createUpstreamTracker({
+        service: 'records',
         heartbeatMs: 1_000,
         clock: () => 0,
         wallClock: () => NOW_MS,
         log: createSilentLog(),
         observe: () => {},
+        observeDeparture: () => {},
       });
       tracker.receiveEnd('u1', start);
       const heartbeat = { ...buildUpstream({ startedAtMs: next }), address: '127.0.0.1:1' };
@@ -168,11 +170,13 @@
   restoreCases.forEach(({ name, restored, heartbeat, isEarly = false, expected }) => {
     it(`is ${name}`, () => {
       const tracker = createUpstreamTracker({
+        service: 'records',
         heartbeatMs: 1_000,
         clock: () => 0,
         wallClock: () => 5_000,
         log: createSilentLog(),
         observe: () => {},
+        observeDeparture: () => {},
       });
       const receive = (): unknown =>
         tracker.receive({ ...buildUpstream(heartbeat), address: '127.0.0.1:1' });
