Let the receiver grant the bytes of large bodies of calls

Cause: 72 daemons send uploads of 60 KB to 14 hosts with 10 Mbit/s, each as fast as its own socket takes them. The queue in front of the host's link held up all small calls behind them: 8,641 of them lay on a link for half over 818 ms, and 5,098 nested calls, which may take 300 ms, were given up.

Change: a daemon that knows its bandwidth is offered large bodies and grants 25 ms of its link at a time, 32 KB at least, by earliest target. A body that would come too late is refused as busy before any of it is sent. One that stalls for 150 ms no longer counts. Daemons of an earlier version, or without a bandwidth, get bodies as before. docs/design/downlink.md.

One failed try: a field of the hello for all daemons, also those without grants, broke the test that bodies go whole to a daemon that does not know pieces; the field is now sent only by those that grant.

--- a/packages/relay/src/CactusdealRelayFrames.ts
+++ b/packages/relay/src/CactusdealRelayFrames.ts
@@ -26,6 +26,8 @@
   CallPiece: 19,
   RolloutCounts: 20,
   RolloutState: 21,
+  CallOffer: 22,
+  CallGrant: 23,
 } as const;
 
 /** A message on a link: its kind, then its fields in a fixed order. */
--- a/packages/relay/src/CactusdealRelayLinkListener.ts
+++ b/packages/relay/src/CactusdealRelayLinkListener.ts
@@ -15,13 +15,16 @@
   type Message,
   MessageKind,
 } from './CactusdealRelayFrames.js';
+import type { Downlink } from './CactusdealRelayDownlink.js';
 import type { Gate } from './CactusdealRelayGate.js';
 import { isReportDue } from './CactusdealRelayGateReport.js';
 import { findField } from './CactusdealRelayHeaders.js';
 import { createHeldCalls, type HeldCalls } from './CactusdealRelayHeldCalls.js';
 import { createLinkWriter, type LinkWriter, PIECE_BYTES } from './CactusdealRelayLinkWriter.js';
+import { createOfferedBodies, type OfferedBodies } from './CactusdealRelayOfferedBodies.js';
 import type { ReceiveQuota } from './CactusdealRelayQuotaExchange.js';
 import type { RolloutExchange } from './CactusdealRelayRollouts.js';
+import { computeEstimateCapMs } from './CactusdealRelayServiceTimes.js';
 import {
   type Attempt,
   type AttemptEnd,
@@ -39,7 +42,9 @@
 import type { Uplink } from './CactusdealRelayUplink.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
+  type CallOffer,
   parseCall,
+  parseCallOffer,
   parseCallTime,
   parseCrashes,
   parseDeparture,
@@ -48,6 +53,7 @@
   parsePiece,
   parsePongTime,
   type Status,
+  toCallGrantMessage,
   toCrashesMessage,
   toDepartureMessage,
   toEndMessage,
@@ -91,10 +97,14 @@
   /** Room for unfinished messages and the bodies of calls, shared with all other links. */
   readonly linkBytes: ByteBudget;
   readonly recordCancelled: (stage: CallStage) => void;
+  /** Called with each call that is refused for want of room on the downlink. */
+  readonly recordDownlinkRefusal?: () => void;
   /** Handles a message of the quotas; undefined if this daemon keeps none. */
   readonly receiveQuota?: ReceiveQuota | undefined;
   /** Orders the large answers of all links; undefined if the bandwidth is unknown. */
   readonly uplink?: Uplink | undefined;
+  /** Orders the large bodies of calls on all links; undefined if the bandwidth is unknown. */
+  readonly downlink?: Downlink | undefined;
   readonly names: Pick<HeaderNames, 'callId'>;
   readonly clock: Clock;
   readonly log: Log;
@@ -110,6 +120,8 @@
   member: Member | undefined;
   /** Bodies of calls that are arriving in pieces. */
   readonly callBodies: CallBodies;
+  /** Undefined if the bandwidth is unknown, so that bodies need no grant. */
+  readonly offeredBodies: OfferedBodies | undefined;
   isLocal: boolean;
   /** State of the gate that was last reported over this link. */
   lastReported: Pick<GateReport, 'load' | 'failureRate'>;
@@ -208,6 +220,7 @@
     }),
     member: undefined,
     callBodies: createCallBodies(options.linkBytes),
+    offeredBodies: createLinkOfferedBodies(options, writer),
     isLocal: false,
     lastReported: { load: 0, failureRate: 0 },
   };
@@ -231,6 +244,7 @@
     reader.close();
     links.delete(link);
     link.callBodies.close();
+    link.offeredBodies?.close();
     link.heldCalls.close();
     link.activeCalls.forEach((attempt) => attempt.cancel());
   });
@@ -244,7 +258,8 @@
       link.heldCalls.receiveTime(sentAtMs);
       link.member = member;
       link.isLocal = member.dataCentre === options.self.dataCentre;
-      write(link, toHelloMessage(options.self, options.getStatus(), options.clock()));
+      const grantsBodies = options.downlink !== undefined;
+      write(link, toHelloMessage(options.self, options.getStatus(), options.clock(), grantsBodies));
       // The entry then knows which versions are in force before it knows the gate's.
       options.rollouts?.listMessages().forEach((each) => write(link, each));
       write(link, toReportMessage(options.gate.getReport()));
@@ -257,9 +272,15 @@
     case MessageKind.Call:
       receiveCall(options, link, message);
       break;
-    case MessageKind.CallPiece:
-      link.callBodies.add(parsePiece(message));
+    case MessageKind.CallOffer:
+      receiveOffer(options, link, parseCallOffer(message));
       break;
+    case MessageKind.CallPiece: {
+      const piece = parsePiece(message);
+      link.callBodies.add(piece);
+      link.offeredBodies?.receive(piece.id, piece.bytes.byteLength);
+      break;
+    }
     case MessageKind.Cancel:
       cancelCall(options, link, message[1] as number);
       break;
@@ -315,10 +336,34 @@
   if (notices.length > 0) write(link, toCrashesMessage(notices));
 }
 
+function createLinkOfferedBodies(
+  { downlink, gate, clock }: LinkListenerOptions,
+  writer: LinkWriter,
+): OfferedBodies | undefined {
+  if (downlink === undefined) return undefined;
+  return createOfferedBodies({
+    downlink,
+    clock,
+    estimateServiceMs: ({ kind, targetMs }) =>
+      gate.estimateServiceMs(kind, computeEstimateCapMs(targetMs)),
+    grant: (id, bytes) => writer.write(toCallGrantMessage(id, bytes)),
+  });
+}
+
+/** Refuses a call whose body would arrive too late, before any of it is sent. */
+function receiveOffer(options: LinkListenerOptions, link: AcceptedLink, offer: CallOffer): void {
+  const waitMs = link.offeredBodies?.offer(offer) ?? 0;
+  if (waitMs === 0) return;
+  options.recordDownlinkRefusal?.();
+  options.log.info('downlink-full', { bytes: offer.bytes, waitMs: Math.round(waitMs) });
+  writeEnd(link, offer.id, buildNotRun(NotRunReason.Busy, waitMs), options.gate.getReport());
+}
+
 /** Holds a call with the body that went ahead in pieces, if it did. */
 function receiveCall(options: LinkListenerOptions, link: AcceptedLink, message: Message): void {
   const id = message[1] as number;
   const call = parseCall(message);
+  link.offeredBodies?.remove(id);
   const body = link.callBodies.take(id);
   if (body.type === 'excess') {
     options.log.warn('call-body-dropped', { call: findField(call.headers, options.names.callId) });
@@ -330,7 +375,8 @@
 }
 
 function cancelCall(options: LinkListenerOptions, link: AcceptedLink, id: number): void {
-  if (link.callBodies.discard(id) || link.heldCalls.cancel(id)) {
+  const isOffered = link.offeredBodies?.remove(id) === true;
+  if (link.callBodies.discard(id) || link.heldCalls.cancel(id) || isOffered) {
     options.recordCancelled(CallStage.Link);
     return;
   }
--- a/packages/relay/src/CactusdealRelayLinkWriter.ts
+++ b/packages/relay/src/CactusdealRelayLinkWriter.ts
@@ -11,6 +11,10 @@
    * belongs. `targetAtMs` is the time by which an answer is wanted.
    */
   writeLarge(id: number, body: Uint8Array, buildMessage: () => Message, targetAtMs?: number): void;
+  /** Does the same as far as `grant` lets it. */
+  writeGranted(id: number, body: Uint8Array, buildMessage: () => Message): void;
+  /** Lets `bytes` more of the body of the call with this id be written. */
+  grant(id: number, bytes: number): void;
   /** Discards what is left of the large body of the call with this id. */
   discard(id: number): void;
 }
@@ -27,6 +31,8 @@
   readonly bytes: Uint8Array;
   readonly buildMessage: () => Message;
   writtenBytes: number;
+  /** Infinity if it needs no grant. */
+  grantedBytes: number;
 }
 
 /** Target of a body that names none. */
@@ -60,7 +66,7 @@
   return {
     write,
     writeLarge: (id, bytes, buildMessage, targetAtMs = NO_TARGET_AT_MS) => {
-      const body = { id, bytes, buildMessage, writtenBytes: 0 };
+      const body = { id, bytes, buildMessage, writtenBytes: 0, grantedBytes: Infinity };
       if (uplink !== undefined) {
         addTransfer(uplink, body, targetAtMs);
         return;
@@ -68,6 +74,15 @@
       bodies.push(body);
       writePieces();
     },
+    writeGranted: (id, bytes, buildMessage) => {
+      bodies.push({ id, bytes, buildMessage, writtenBytes: 0, grantedBytes: 0 });
+    },
+    grant: (id, bytes) => {
+      const body = bodies.find((each) => each.id === id);
+      if (body === undefined) return;
+      body.grantedBytes += bytes;
+      writePieces();
+    },
     discard: (id) => {
       removeTransfer(id);
       bodies = bodies.filter((body) => body.id !== id);
@@ -80,8 +95,9 @@
 
   function writePieces(): void {
     while (!socket.destroyed && !socket.writableNeedDrain) {
-      const body = bodies.shift();
+      const body = bodies.find(({ writtenBytes, grantedBytes }) => writtenBytes < grantedBytes);
       if (body === undefined) return;
+      bodies = bodies.filter((other) => other !== body);
       if (writePiece(body) > 0) bodies.push(body);
     }
   }
@@ -112,7 +128,8 @@
   /** Writes the next piece, after the last one also the message. Returns the bytes that are left. */
   function writePiece(largeBody: LargeBody): number {
     const body = largeBody;
-    const end = Math.min(body.bytes.byteLength, body.writtenBytes + PIECE_BYTES);
+    const nextBytes = Math.min(body.writtenBytes + PIECE_BYTES, body.grantedBytes);
+    const end = Math.min(body.bytes.byteLength, nextBytes);
     write([pieceKind, body.id, body.bytes.subarray(body.writtenBytes, end)]);
     body.writtenBytes = end;
     if (end === body.bytes.byteLength) write(body.buildMessage());
--- a/packages/relay/src/CactusdealRelayMetrics.ts
+++ b/packages/relay/src/CactusdealRelayMetrics.ts
@@ -29,6 +29,8 @@
   recordExposure(service: string): void;
   /** Counts a call that was refused because its answer would cross the uplink too late. */
   recordUplinkRefusal(): void;
+  /** Counts a call that was refused because its body would cross the downlink too late. */
+  recordDownlinkRefusal(): void;
   recordPause(pause: Pause): void;
   recordOverQuota(organisation: string): void;
   /** Renders the metrics in the text exposition format. */
@@ -139,6 +141,11 @@
     help: 'Calls that were refused because their answers would have crossed the uplink too late',
     registers,
   });
+  const downlinkRefusals = new Counter({
+    name: 'cactusdeal_downlink_refused_total',
+    help: 'Calls that were refused because their bodies would have crossed the downlink too late',
+    registers,
+  });
   const pauses = new Histogram({
     name: 'cactusdeal_event_loop_pause_seconds',
     help: 'Times of 0.1 s and more in which the daemon handled nothing',
@@ -196,6 +203,7 @@
     recordEviction: () => evictions.inc(),
     recordExposure: (service) => exposures.inc({ service }),
     recordUplinkRefusal: () => uplinkRefusals.inc(),
+    recordDownlinkRefusal: () => downlinkRefusals.inc(),
     recordPause: ({ durationMs }) => pauses.observe(durationMs / MS_PER_SECOND),
     recordOverQuota: (organisation) => quotas.recordRefusal(organisation),
     render: () => registry.metrics(),
--- a/packages/relay/src/CactusdealRelayPeer.ts
+++ b/packages/relay/src/CactusdealRelayPeer.ts
@@ -30,6 +30,7 @@
 import { MAX_ANSWER_BYTES } from './CactusdealRelayUpstreamAnswer.js';
 import type { VersionUpdate } from './CactusdealRelayVersionHistory.js';
 import {
+  parseCallGrant,
   parseCrashes,
   parseDeparture,
   parseEnd,
@@ -41,6 +42,7 @@
   parseUpdate,
   type Status,
   toCallMessage,
+  toCallOfferMessage,
   toCrashesMessage,
   toDepartureMessage,
   toHelloMessage,
@@ -184,6 +186,9 @@
   /** Whether the daemon takes the bodies of calls in pieces. */
   private takesCallPieces = false;
 
+  /** Whether the daemon has to be offered large bodies, and grants what may be sent of them. */
+  private grantsBodies = false;
+
   private nextId = 1;
 
   /** Whether calls were given up since the last message. */
@@ -261,6 +266,7 @@
     this.status = undefined;
     this.hasGivenUp = false;
     this.takesCallPieces = false;
+    this.grantsBodies = false;
     [...this.pendingCalls.values()].forEach((pending) => pending.settle(buildLostEnd(pending)));
     this.options.observeEnd?.();
   }
@@ -304,6 +310,11 @@
       case MessageKind.Unknown:
         this.receiveEnd(message);
         break;
+      case MessageKind.CallGrant: {
+        const { id, bytes } = parseCallGrant(message);
+        this.link.grant(id, bytes);
+        break;
+      }
       case MessageKind.AnswerPiece:
         this.receivePiece(message);
         break;
@@ -348,13 +359,14 @@
 
   /** A host's address may pass to another host, whose daemon must not be taken for this one. */
   private receiveHello(message: Message): void {
-    const { member, status, takesCallPieces } = parseHello(message);
+    const { member, status, takesCallPieces, grantsBodies } = parseHello(message);
     if (member.id !== this.member.id) {
       this.link.fail(`daemon ${member.id} answers at ${this.member.address}`);
       return;
     }
     this.link.accept();
     this.takesCallPieces = takesCallPieces;
+    this.grantsBodies = grantsBodies;
     this.setStatus(status);
   }
 
@@ -373,6 +385,7 @@
     this.gate.receiveLoad(parseGateLoad(message));
     const pending = this.pendingCalls.get(id);
     if (pending === undefined) return;
+    if (!pending.isComplete) this.link.discard(id);
     const end = addPieces(parseEnd(message), pending.pieces);
     if (end.type === 'answered') this.options.recordLimit(this.member.id, end.limit);
     const elapsedMs = (pending.answeredAtMs ?? this.options.clock()) - pending.sentAtMs;
@@ -427,7 +440,7 @@
       this.link.write(toCallMessage(id, call, wantedAtMs));
       return;
     }
-    this.link.writeLarge(id, body, () => {
+    const buildMessage = (): Message => {
       this.recordComplete(id);
       // A caller that left before now would have had the call cancelled.
       const nowMs = this.options.clock();
@@ -435,7 +448,19 @@
       const remainingMs = call.remainingMs - elapsedMs;
       const targetMs = call.targetMs - elapsedMs;
       return toCallMessage(id, { ...call, body: undefined, remainingMs, targetMs }, nowMs);
-    });
+    };
+    if (this.grantsBodies) this.offerBody(id, call, body, buildMessage);
+    else this.link.writeLarge(id, body, buildMessage);
+  }
+
+  private offerBody(
+    id: number,
+    { targetMs, kind }: GateCall,
+    body: Uint8Array,
+    buildMessage: () => Message,
+  ): void {
+    this.link.writeGranted(id, body, buildMessage);
+    this.link.write(toCallOfferMessage({ id, bytes: body.byteLength, targetMs, kind }));
   }
 
   private recordComplete(id: number): void {
--- a/packages/relay/src/CactusdealRelayPeerLink.ts
+++ b/packages/relay/src/CactusdealRelayPeerLink.ts
@@ -26,6 +26,10 @@
   writeFrame(frame: Buffer): void;
   /** Writes `body` in pieces between other messages, then what `buildMessage` builds at that moment. */
   writeLarge(id: number, body: Uint8Array, buildMessage: () => Message): void;
+  /** Does the same as far as `grant` lets it. */
+  writeGranted(id: number, body: Uint8Array, buildMessage: () => Message): void;
+  /** Lets `bytes` more of the body of the call with this id be written. */
+  grant(id: number, bytes: number): void;
   /** Discards what is left of the large body of the call with this id. */
   discard(id: number): void;
   /** Ends the connection; `reason` goes to the log. */
@@ -176,6 +180,14 @@
     this.writer?.writeLarge(id, body, buildMessage);
   }
 
+  public writeGranted(id: number, body: Uint8Array, buildMessage: () => Message): void {
+    this.writer?.writeGranted(id, body, buildMessage);
+  }
+
+  public grant(id: number, bytes: number): void {
+    this.writer?.grant(id, bytes);
+  }
+
   public discard(id: number): void {
     this.writer?.discard(id);
   }
--- a/packages/relay/src/CactusdealRelayUplink.ts
+++ b/packages/relay/src/CactusdealRelayUplink.ts
@@ -17,7 +17,7 @@
 /** The rest of the uplink is for headers of the network's protocols and for small messages. */
 const LARGE_ANSWER_FRACTION = 0.85;
 /** Bytes per millisecond in 1 Mbit/s. */
-const BYTES_PER_MS_OF_MBPS = 125;
+export const BYTES_PER_MS_OF_MBPS = 125;
 
 /** Creates the uplink of a host with `mbps` megabits per second. */
 export function createUplink(mbps: number, clock: Clock): Uplink {
--- a/packages/relay/src/CactusdealRelayWire.ts
+++ b/packages/relay/src/CactusdealRelayWire.ts
@@ -34,6 +34,17 @@
   readonly sentAtMs: number | undefined;
   /** Whether the daemon takes the bodies of calls in pieces; one of an earlier version does not. */
   readonly takesCallPieces: boolean;
+  /** Whether the daemon has to be offered large bodies of calls, and grants what may be sent of them. */
+  readonly grantsBodies: boolean;
+}
+
+/** A large body of a call that a daemon wants to send. */
+export interface CallOffer {
+  readonly id: number;
+  readonly bytes: number;
+  /** Time within which the answer to the call is wanted, in milliseconds. */
+  readonly targetMs: number;
+  readonly kind: string;
 }
 
 const NO_BODY = null;
@@ -43,6 +54,8 @@
 const NO_VERSION = null;
 /** Field of a hello by which a daemon says that it takes the bodies of calls in pieces. */
 const TAKES_CALL_PIECES = true;
+/** Further field by which it says that it has to be offered large bodies. */
+const GRANTS_BODIES = true;
 
 /** Encodes a call as fields of a message, with the time to which its own times refer, by this daemon's clock. */
 export function toCallMessage(id: number, call: GateCall, sentAtMs: number): Message {
@@ -113,6 +126,39 @@
   return { id: message[1] as number, bytes: message[2] as Uint8Array };
 }
 
+/** Encodes that a daemon wants to send a large body. */
+export function toCallOfferMessage({ id, bytes, targetMs, kind }: CallOffer): Message {
+  return [MessageKind.CallOffer, id, bytes, Math.round(targetMs), kind];
+}
+
+/** @throws RangeError if the message offers no body. */
+export function parseCallOffer([, id, bytes, targetMs, kind]: Message): CallOffer {
+  const isValid =
+    Number.isSafeInteger(id) &&
+    Number.isSafeInteger(bytes) &&
+    (bytes as number) > 0 &&
+    typeof targetMs === 'number' &&
+    typeof kind === 'string';
+  if (!isValid)
+    throw new RangeError(`offer of no valid body: id ${String(id)}, ${String(bytes)} bytes`);
+  return { id: id as number, bytes: bytes as number, targetMs, kind };
+}
+
+/** Encodes that a daemon may send `bytes` more of the body of its call `id`. */
+export function toCallGrantMessage(id: number, bytes: number): Message {
+  return [MessageKind.CallGrant, id, bytes];
+}
+
+/** @throws RangeError if the message grants nothing. */
+export function parseCallGrant([, id, bytes]: Message): {
+  readonly id: number;
+  readonly bytes: number;
+} {
+  if (typeof id !== 'number' || typeof bytes !== 'number' || !(bytes > 0))
+    throw new RangeError(`grant of no bytes: id ${String(id)}, ${String(bytes)} bytes`);
+  return { id, bytes };
+}
+
 /**
  * Encodes the end of an attempt, with the gate's current load for the entry's next choice. An answer
  * whose body went ahead in pieces is passed with an empty one.
@@ -187,18 +233,25 @@
 }
 
 /** Encodes who this daemon is, with the time of sending by its clock. */
-export function toHelloMessage(member: Member, status: Status, sentAtMs: number): Message {
+export function toHelloMessage(
+  member: Member,
+  status: Status,
+  sentAtMs: number,
+  grantsBodies = false,
+): Message {
   const { id, dataCentre, service, address } = member;
   const { version, platformAgeMs, storeEra = NO_ERA } = status;
   const time = Math.round(sentAtMs);
   const fields = [id, dataCentre, address, version, platformAgeMs, service, time, storeEra];
-  return [MessageKind.Hello, ...fields, TAKES_CALL_PIECES];
+  const abilities = grantsBodies ? [TAKES_CALL_PIECES, GRANTS_BODIES] : [TAKES_CALL_PIECES];
+  return [MessageKind.Hello, ...fields, ...abilities];
 }
 
 /** @throws RangeError if the message names no daemon that can be linked to. */
 export function parseHello(message: Message): Hello {
-  const [, id, dataCentre, address, version, platformAgeMs, service, time, era, takesPieces] =
+  const [, id, dataCentre, address, version, platformAgeMs, service, time, era, ...abilities] =
     message;
+  const [takesPieces, grantsBodies] = abilities;
   const member = parseMember({ id, dataCentre, address, service });
   if (member === undefined)
     throw new RangeError(`hello of no valid daemon: id ${String(id)}, address ${String(address)}`);
@@ -211,6 +264,7 @@
     },
     sentAtMs: parseTime(time),
     takesCallPieces: takesPieces === TAKES_CALL_PIECES,
+    grantsBodies: grantsBodies === GRANTS_BODIES,
   };
 }
 
--- a/packages/relay/src/CactusdealRelayWiring.ts
+++ b/packages/relay/src/CactusdealRelayWiring.ts
@@ -17,6 +17,7 @@
 } from './CactusdealRelayConfigurations.js';
 import { createCrashExchange } from './CactusdealRelayCrashExchange.js';
 import { createMemberDepartures } from './CactusdealRelayDepartures.js';
+import { createDownlink, type Downlink } from './CactusdealRelayDownlink.js';
 import { type Entry, startEntry } from './CactusdealRelayEntry.js';
 import { createGate, type Gate } from './CactusdealRelayGate.js';
 import { createKnownLimits } from './CactusdealRelayKnownLimits.js';
@@ -60,7 +61,10 @@
   readonly graceMs: number;
   /** Memory of the host, in bytes; each part of the daemon has only a limit of its own without it. */
   readonly hostBytes?: number;
-  /** Bandwidth of the host's uplink, in Mbit/s; large answers are not limited by it without it. */
+  /**
+   * Bandwidth of the host's link in each direction, in Mbit/s; large answers and large bodies of calls are not limited
+   * by it without it.
+   */
   readonly uplinkMbps?: number | undefined;
   /** Makes the runtime collect garbage, if it offers that. */
   readonly collectGarbage?: () => unknown;
@@ -129,6 +133,7 @@
   readonly quotas: Quotas;
   readonly rollouts: Rollouts;
   readonly uplink: Uplink | undefined;
+  readonly downlink: Downlink | undefined;
   readonly log: Log;
 }
 
@@ -143,6 +148,7 @@
   const linkBytes = memory.links;
   const { uplinkMbps } = options;
   const uplink = uplinkMbps === undefined ? undefined : createUplink(uplinkMbps, clock);
+  const downlink = uplinkMbps === undefined ? undefined : createDownlink(uplinkMbps, clock);
   const deferredTasks = createDeferredTasks();
   let isStopping = false;
 
@@ -322,9 +328,11 @@
     ...rolloutExchange,
     linkBytes,
     uplink,
+    downlink,
     names,
     clock,
     recordCancelled: (stage) => metrics.recordCancelled(stage),
+    recordDownlinkRefusal: () => metrics.recordDownlinkRefusal(),
     log,
   });
   entry = await startEntry({
@@ -364,6 +372,7 @@
     quotas,
     rollouts,
     uplink,
+    downlink,
     log,
   };
   return {
@@ -420,4 +429,5 @@
   relayParts.rollouts.close();
   await listener.close();
   relayParts.uplink?.close();
+  relayParts.downlink?.close();
 }
--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -17,7 +17,13 @@
   type Member,
   NotRunReason,
 } from '../../CactusdealRelayTypes.js';
-import { toEndMessage, toHelloMessage, toReportMessage } from '../../CactusdealRelayWire.js';
+import {
+  toCallGrantMessage,
+  toCallOfferMessage,
+  toEndMessage,
+  toHelloMessage,
+  toReportMessage,
+} from '../../CactusdealRelayWire.js';
 import { findAddress, waitUntil } from '../CactusdealRelayTestCluster.js';
 import { buildCall, NO_CRASHES } from '../CactusdealRelayFixtures.js';
 
@@ -167,6 +173,35 @@
     daemon.close();
   });
 
+  // Guards against SHORT: many daemons sent large bodies to one host at once, and small calls waited behind them.
+  it('goes no further than the daemon has granted', async (context) => {
+    const daemon = await startDaemon();
+    context.after(() => daemon.close());
+    await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
+    daemon.send(toHelloMessage(daemon.peer.member, status, 0, true));
+    daemon.send(toReportMessage({ ...report, service: 'granting' }));
+    await waitUntil(() => daemon.peer.getService() === 'granting', 'the hello arrives');
+    const countBytes = (): number =>
+      daemon.received
+        .filter(([kind]) => kind === MessageKind.CallPiece)
+        .reduce((sum, piece) => sum + (piece[2] as Uint8Array).byteLength, 0);
+    void daemon.peer.send(buildLargeCall(60_000), 0);
+    void daemon.peer.send(buildTestCall(true), 0);
+    await waitUntil(() => daemon.received.some(isCall), 'the small call arrives');
+    assert.deepEqual(
+      daemon.received.find(([kind]) => kind === MessageKind.CallOffer),
+      toCallOfferMessage({ id: 1, bytes: 60_000, targetMs: 1_000, kind: 'k' }),
+    );
+    assert.equal(countBytes(), 0);
+    daemon.send(toCallGrantMessage(1, 20_000));
+    void daemon.peer.send(buildTestCall(true), 0);
+    await waitUntil(() => daemon.received.filter(isCall).length === 2, 'the next one arrives');
+    await waitUntil(() => countBytes() === 20_000, 'what is granted arrives');
+    daemon.send(toCallGrantMessage(1, 40_000));
+    await waitUntil(() => daemon.received.filter(isCall).length === 3, 'the large one arrives');
+    assert.equal(countBytes(), 60_000);
+  });
+
   it('goes whole to a daemon that does not know pieces', async () => {
     const daemon = await startDaemon('d2', false);
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
--- a/packages/schema/scripts/generate.mjs
+++ b/packages/schema/scripts/generate.mjs
@@ -58,7 +58,7 @@
     '| key | meaning | allowed | default |',
     '| --- | --- | --- | --- |',
     '| `memoryMb` | Memory of the host, in megabytes (2^20 bytes). What the daemon holds of what others send stays within it together with the runtime; a body without room waits for 1 s at most and is then refused with 503. | number above 0 | none: only each part has a limit |',
-    "| `uplinkMbps` | Bandwidth of the host's uplink, in Mbit/s. Large answers share it by earliest target, and calls whose large answer would be late are refused as busy ([uplink](../design/uplink.md)). | number above 0 | none: large answers are not limited |",
+    "| `uplinkMbps` | Bandwidth of the host's link in each direction, in Mbit/s. Large answers and large bodies of calls share it by earliest target, and calls that would be late are refused as busy ([uplink](../design/uplink.md), [downlink](../design/downlink.md)). | number above 0 | none: neither is limited |",
   ];
   return format([...head, ...rows, ...foot, ''].join('\n'), {
     parser: 'markdown',
