--- a/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayPeer.test.ts
@@ -111,8 +111,9 @@
   buildCall({ remainingMs: 10_000, targetMs: 1_000, kind: 'k', idempotent });
 
 describe('a daemon that falls silent with calls running', () => {
-  it('keeps the call that may have run, whose answer still arrives', async () => {
+  it('keeps the call that may have run, whose answer still arrives', async (context) => {
     const daemon = await startDaemon();
+    context.after(() => daemon.close());
     const { peer } = daemon;
     await waitUntil(() => peer.getService() === 'records', 'the report arrives');
     const once = peer.send(buildTestCall(false), 0).end;
@@ -127,25 +128,24 @@
       'the call that runs elsewhere is cancelled',
     );
     assert.notEqual(peer.getView('k', 100)?.avoidedUntilMs, Infinity, 'it is used again');
-    daemon.close();
   });
 
-  it('loses its link once no call waits on it', async () => {
+  it('loses its link once no call waits on it', async (context) => {
     const daemon = await startDaemon();
+    context.after(() => daemon.close());
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
     const end = await daemon.peer.send(buildTestCall(true), 0).end;
     assert.equal(end.type, 'unknown');
     await waitUntil(() => daemon.countConnections() === 2, 'a new link is opened');
-    daemon.close();
   });
 });
 
 describe('a daemon that answers at the address of another', () => {
-  it('gets no calls', async () => {
+  it('gets no calls', async (context) => {
     const daemon = await startDaemon('d9');
+    context.after(() => daemon.close());
     await waitUntil(() => daemon.countConnections() >= 2, 'the link is closed and opened again');
     assert.equal(daemon.peer.getStatus(), undefined);
-    daemon.close();
   });
 });
 
@@ -157,8 +157,9 @@
   const isCall = ([kind]: Message): boolean => kind === MessageKind.Call;
 
   // The body is larger than what the kernel takes at once on loopback.
-  it('goes in pieces, behind which a small call does not wait', async () => {
+  it('goes in pieces, behind which a small call does not wait', async (context) => {
     const daemon = await startDaemon();
+    context.after(() => daemon.close());
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
     void daemon.peer.send(buildLargeCall(20_000_000), 0);
     void daemon.peer.send(buildTestCall(true), 0);
@@ -170,7 +171,6 @@
     const pieces = daemon.received.filter(([kind]) => kind === MessageKind.CallPiece);
     const bytes = pieces.reduce((sum, piece) => sum + (piece[2] as Uint8Array).byteLength, 0);
     assert.equal(bytes, 20_000_000);
-    daemon.close();
   });
 
   // Guards against SHORT: many daemons sent large bodies to one host at once, and small calls waited behind them.
@@ -202,28 +202,29 @@
     assert.equal(countBytes(), 60_000);
   });
 
-  it('goes whole to a daemon that does not know pieces', async () => {
+  it('goes whole to a daemon that does not know pieces', async (context) => {
     const daemon = await startDaemon('d2', false);
+    context.after(() => daemon.close());
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
     void daemon.peer.send(buildLargeCall(400_000), 0);
     await waitUntil(() => daemon.received.some(isCall), 'the call arrives');
     const call = daemon.received.find(isCall);
     assert.equal((call?.[6] as Uint8Array).byteLength, 400_000);
     assert.ok(daemon.received.every(([kind]) => kind !== MessageKind.CallPiece));
-    daemon.close();
   });
 
-  it('has not run if the link is lost before its last piece, so that it may run elsewhere', async () => {
+  it('has not run if the link is lost before its last piece, so that it may run elsewhere', async (context) => {
     const daemon = await startDaemon();
+    context.after(() => daemon.close());
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
     const { end } = daemon.peer.send(buildLargeCall(30_000_000), 0);
     daemon.endLink();
     assert.deepEqual(await end, buildNotRun(NotRunReason.Unreachable));
-    daemon.close();
   });
 
-  it('is not sent any further once it is cancelled', async () => {
+  it('is not sent any further once it is cancelled', async (context) => {
     const daemon = await startDaemon();
+    context.after(() => daemon.close());
     await waitUntil(() => daemon.peer.getService() === 'records', 'the report arrives');
     daemon.peer.send(buildLargeCall(30_000_000), 0).cancel();
     void daemon.peer.send(buildTestCall(true), 0);
@@ -233,6 +234,5 @@
       [2],
     );
     assert.ok(daemon.received.some(([kind, id]) => kind === MessageKind.Cancel && id === 1));
-    daemon.close();
   });
 });
