Close the clusters of four test files also when a test fails

A failing case left its cluster open, so that the process of the file did not end by itself. Each cluster is now closed by `context.after`.

--- a/packages/relay/src/__tests__/unit/CactusdealRelayDepartures.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayDepartures.test.ts
@@ -62,9 +62,10 @@
     assert.equal(leaving.requests.length, 1);
   });
 
-  it('keep an upstream that has left out of use after its daemon restarts', async () => {
+  it('keep an upstream that has left out of use after its daemon restarts', async (context) => {
     const configuration = buildConfiguration([buildRule({ idempotent: false })]);
     const cluster = await startCluster(configuration, ['desk', 'records']);
+    context.after(() => cluster.close());
     const [caller, leaving] = cluster.hosts as [TestHost, TestHost];
     assert.equal((await sendCall(caller)).status, 200);
     leaving.relay.upstreamTracker.receiveEnd('u1', 1);
@@ -75,7 +76,6 @@
     await waitUntil(() => leaving.relay.upstreamTracker.get()?.state === 'gone', 'told of the end');
     assert.equal(await isClosed(), true);
     assert.equal(leaving.requests.length, 1);
-    await cluster.close();
   });
 
   // Guards against DRAIN: the end of a restarted upstream was acknowledged and ignored, as no heartbeat had named its start.
--- a/packages/relay/src/__tests__/unit/CactusdealRelayQuotas.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayQuotas.test.ts
@@ -45,13 +45,14 @@
 }
 
 describe('a quota over the entries of two data centres', () => {
-  it('is refused with 429 and retry-after at each entry, while other calls are served', async () => {
+  it('is refused with 429 and retry-after at each entry, while other calls are served', async (context) => {
     const cluster = await startCluster(
       configuration,
       ['records', 'records', 'records'],
       undefined,
       (index) => (index === 2 ? 'east' : 'west'),
     );
+    context.after(() => cluster.close());
     const [, first, second] = cluster.hosts as [TestHost, TestHost, TestHost];
     await waitForCoordinators(cluster);
     const refusals = await sendUntilRefused([first, second]);
@@ -66,6 +67,5 @@
     const metricsText = await first.relay.metrics.render();
     assert.match(metricsText, /cactusdeal_quota_fraction\{organisation="limited"\} /);
     assert.match(metricsText, /cactusdeal_quota_refused_calls_total\{organisation="limited"\} /);
-    await cluster.close();
   });
 });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayStop.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayStop.test.ts
@@ -23,8 +23,9 @@
 
 describe('stop of a daemon', () => {
   unansweredCases.forEach(({ name, isLate, status }) => {
-    it(`answers a call that arrived ${name} and still runs at the end of the grace time`, async () => {
+    it(`answers a call that arrived ${name} and still runs at the end of the grace time`, async (context) => {
       const cluster = await startCluster(configuration, ['desk', 'records']);
+      context.after(() => cluster.close());
       const [caller, upstream] = cluster.hosts as [TestHost, TestHost];
       upstream.serve = () => {};
       let closed: Promise<void> | undefined;
@@ -36,12 +37,12 @@
       assert.equal(grantedMs < GRACE_MS, isLate, `the upstream was given ${grantedMs} ms`);
       assert.equal((await running).status, status);
       await closed;
-      await cluster.close();
     });
   });
 
-  it('answers a call that is running when the stop begins', async () => {
+  it('answers a call that is running when the stop begins', async (context) => {
     const cluster = await startCluster(configuration, ['desk', 'records']);
+    context.after(() => cluster.close());
     const [caller, upstream] = cluster.hosts as [TestHost, TestHost];
     let answer: () => void = () => {};
     const { serve } = upstream;
@@ -57,11 +58,11 @@
     assert.equal(status, 200);
     assert.equal(headers.connection, 'close');
     await closed;
-    await cluster.close();
   });
 
-  it('answers or refuses a call that arrives while the registration is being removed', async () => {
+  it('answers or refuses a call that arrives while the registration is being removed', async (context) => {
     const cluster = await startCluster(configuration, ['desk', 'records']);
+    context.after(() => cluster.close());
     const [caller, upstream] = cluster.hosts as [TestHost, TestHost];
     const { serve } = upstream;
     upstream.serve = (request, response) => {
@@ -73,11 +74,11 @@
     };
     await caller.relay.close();
     assert.ok([200, 503].includes((await last)?.status ?? 0));
-    await cluster.close();
   });
 
-  it('refuses calls that arrive too late as not run, and cuts off no running call', async () => {
+  it('refuses calls that arrive too late as not run, and cuts off no running call', async (context) => {
     const cluster = await startCluster(configuration, ['desk', 'records']);
+    context.after(() => cluster.close());
     const [caller, upstream] = cluster.hosts as [TestHost, TestHost];
     let finishCall: () => void = () => {};
     const { serve } = upstream;
@@ -98,6 +99,5 @@
     finishCall();
     assert.equal((await running).status, 200);
     await closed;
-    await cluster.close();
   });
 });
--- a/packages/relay/src/__tests__/unit/CactusdealRelayUplinkRefusal.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayUplinkRefusal.test.ts
@@ -9,10 +9,11 @@
 
 describe('daemons with a narrow uplink', () => {
   // Guards against late answers to all callers, and against a limit on calls that stay on the host.
-  it('refuse large answers that do not fit, only to callers of other hosts', async () => {
+  it('refuse large answers that do not fit, only to callers of other hosts', async (context) => {
     const configuration = buildConfiguration([buildRule({ hasLargeAnswers: true })]);
     const services = ['records', 'shop'];
     const cluster = await startCluster(configuration, services, undefined, undefined, 1);
+    context.after(() => cluster.close());
     const [records, shop] = cluster.hosts;
     assert.ok(records !== undefined && shop !== undefined);
     records.serve = (request, response) => {
@@ -30,6 +31,5 @@
     assert.ok(answered.length > 0 && answered.length < remote.length);
     assert.ok(answered.every(({ body }) => body === ANSWER));
     assert.match(await records.relay.metrics.render(), REFUSED);
-    await cluster.close();
   });
 });
