--- a/packages/relay/src/CactusdealRelayGate.ts
+++ b/packages/relay/src/CactusdealRelayGate.ts
@@ -28,6 +28,7 @@
   type GateCall,
   type GateReport,
   type HeaderNames,
+  isSameInstance,
   type NamedLimit,
   NotRunReason,
   UnknownReason,
@@ -123,10 +124,6 @@
 /** Largest body that is kept after the end of its call, to compute the fingerprint later. */
 const MAX_KEPT_BODY_BYTES = 1024;
 
-function isSameInstance(current: Upstream | undefined, { id, startedAtMs }: Upstream): boolean {
-  return current?.id === id && current.startedAtMs === startedAtMs;
-}
-
 /** Creates the gate of one upstream. */
 export function createGate(options: GateOptions): Gate {
   return new UpstreamGate(options);
--- a/packages/relay/src/CactusdealRelayOfferedBodies.ts
+++ b/packages/relay/src/CactusdealRelayOfferedBodies.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@cactusdeal/shared';
 import type { Downlink } from './CactusdealRelayDownlink.js';
 import type { OfferedBody } from './CactusdealRelayDownlinkSchedule.js';
 import type { CallOffer } from './CactusdealRelayWire.js';
@@ -16,7 +17,8 @@
 
 export interface OfferedBodiesOptions {
   readonly downlink: Downlink;
-  readonly clock: () => number;
+  readonly clock: Clock;
+  /** Expected time of the call at the upstream, in milliseconds. */
   readonly estimateServiceMs: (offer: CallOffer) => number;
   /** Tells the other daemon how much more it may send. */
   readonly grant: (id: number, bytes: number) => void;
@@ -28,6 +30,7 @@
   const bodies = new Map<number, OfferedBody>();
   return {
     offer: (offer) => {
+      remove(offer.id);
       const body: OfferedBody = {
         bytes: offer.bytes,
         targetAtMs: clock() + offer.targetMs,
@@ -44,14 +47,16 @@
       const body = bodies.get(id);
       if (body !== undefined) downlink.receive(body, bytes);
     },
-    remove: (id) => {
-      const body = bodies.get(id);
-      if (body !== undefined) downlink.remove(body);
-      return bodies.delete(id);
-    },
+    remove,
     close: () => {
       bodies.forEach((body) => downlink.remove(body));
       bodies.clear();
     },
   };
+
+  function remove(id: number): boolean {
+    const body = bodies.get(id);
+    if (body !== undefined) downlink.remove(body);
+    return bodies.delete(id);
+  }
 }
--- a/packages/relay/src/CactusdealRelayTypes.ts
+++ b/packages/relay/src/CactusdealRelayTypes.ts
@@ -94,6 +94,11 @@
   readonly warmUpLeftMs?: number | undefined;
 }
 
+/** Whether both are states of one instance. */
+export function isSameInstance(left: Upstream | undefined, right: Upstream): boolean {
+  return left?.id === right.id && left.startedAtMs === right.startedAtMs;
+}
+
 /** The limit that an instance of an upstream names. */
 export interface NamedLimit extends Pick<Upstream, 'id' | 'startedAtMs'> {
   /** Calls per second that it takes from all daemons together. */
--- a/packages/relay/src/CactusdealRelayUpstreamTracker.ts
+++ b/packages/relay/src/CactusdealRelayUpstreamTracker.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Log, scheduleTicks } from '@cactusdeal/shared';
 import { createDepartures, isMoreFinal } from './CactusdealRelayDepartures.js';
-import type { Heartbeat, Upstream } from './CactusdealRelayTypes.js';
+import { type Heartbeat, isSameInstance, type Upstream } from './CactusdealRelayTypes.js';
 
 /**
  * Tracks the current instance of the upstream on this host. Heartbeats, ends and what answers and other daemons tell
@@ -183,7 +183,7 @@
  * one. After an instance has gone, one with another id counts as later whatever its clock says.
  */
 export function isNewer(heartbeat: Upstream, known: Upstream): boolean {
-  if (heartbeat.id === known.id && heartbeat.startedAtMs === known.startedAtMs)
+  if (isSameInstance(heartbeat, known))
     return known.state !== 'gone' && heartbeat.sequence > known.sequence;
   const isAfterEnd = known.state === 'gone' && heartbeat.id !== known.id;
   return heartbeat.startedAtMs > known.startedAtMs || isAfterEnd;
