--- a/packages/relay/src/__tests__/unit/CactusdealRelayRolloutFleet.test.ts
+++ b/packages/relay/src/__tests__/unit/CactusdealRelayRolloutFleet.test.ts
@@ -44,8 +44,9 @@
 
 describe('a rollout over two data centres', () => {
   cases.forEach(({ name, serve, durationMs, phase }) => {
-    it(name, { timeout: 40_000 }, async () => {
+    it(name, { timeout: 40_000 }, async (context) => {
       const cluster = await startRollout(serve, durationMs);
+      context.after(() => cluster.close());
       const { hosts, statuses } = cluster;
       const calls = await sendCallsUntil(
         cluster,
@@ -59,7 +60,6 @@
         await sendCall(hosts[index % 4] as (typeof hosts)[number], { id: `l${index}` });
       const expected = phase === RolloutPhase.Succeeded ? 20 : 0;
       assert.equal(countTarget() - exposed, expected, 'calls to the new version afterwards');
-      await cluster.close();
     });
   });
 });
